--- /dev/null
+++ b/src/bench/mod.rs
@@ -0,0 +1,20 @@
+//! Measurements and the demonstration, against stand-ins on loopback. Every run is bounded in
+//! calls and in time.
+
+mod added;
+mod control;
+mod crest;
+mod demo;
+mod fixture;
+mod load;
+mod mixed;
+mod rollout;
+mod slow;
+
+pub use added::added;
+pub use control::control;
+pub use crest::crest;
+pub use demo::demo;
+pub use mixed::mixed;
+pub use rollout::rollout;
+pub use slow::slow;
--- /dev/null
+++ b/src/bin/bluebellgap/app.rs
@@ -0,0 +1,64 @@
+//! Carries out commands.
+
+use eyre::Result;
+use tokio::runtime::Runtime;
+
+use crate::cli::{BundleCommand, Command, SettingsCommand};
+use crate::{node, operator};
+
+/// Runs one command to its end.
+pub(crate) fn run(command: Command) -> Result<()> {
+    let runtime = Runtime::new()?;
+    runtime.block_on(dispatch(command))
+}
+
+async fn dispatch(command: Command) -> Result<()> {
+    match command {
+        Command::Node { settings } => node::run(&settings).await,
+        Command::Keygen { out, operator } => operator::keygen(&operator, &out),
+        Command::Settings(SettingsCommand::Check { file }) => node::check_settings(&file),
+        Command::Bundle(BundleCommand::Check { format, file }) => operator::check(&file, format),
+        Command::Bundle(BundleCommand::Push {
+            platform,
+            operator,
+            base,
+            format,
+            file,
+        }) => operator::push(platform, &operator, base, format, &file).await,
+        Command::Sign {
+            platform,
+            identity,
+            version,
+        } => operator::sign(platform, &identity, version).await,
+        Command::Approve {
+            platform,
+            identity,
+            no_watch,
+            format,
+            version,
+        } => operator::approve(platform, &identity, version, !no_watch, format).await,
+        Command::Stop {
+            platform,
+            operator,
+            version,
+        } => operator::stop(platform, &operator, version).await,
+        Command::Supersede {
+            platform,
+            identity,
+            content,
+            no_watch,
+            format,
+        } => operator::supersede(platform, &identity, content, !no_watch, format).await,
+        Command::Status {
+            platform,
+            watch,
+            format,
+        } => operator::status(platform, watch, format).await,
+        #[cfg(feature = "standin")]
+        Command::Demo { seconds } => crate::standin::demo(seconds).await,
+        #[cfg(feature = "standin")]
+        Command::Standin(command) => crate::standin::run(command).await,
+        #[cfg(feature = "standin")]
+        Command::Bench(command) => crate::standin::bench(command).await,
+    }
+}
--- /dev/null
+++ b/src/bin/bluebellgap/standin.rs
@@ -0,0 +1,53 @@
+//! Commands that use the stand-ins.
+
+use bluebellgap::bench;
+use bluebellgap::standin::{Memory, PlatformServer, Target, TargetOptions};
+use eyre::Result;
+
+use crate::cli::{BenchCommand, StandinCommand};
+
+/// `bluebellgap standin`
+pub(crate) async fn run(command: StandinCommand) -> Result<()> {
+    match command {
+        StandinCommand::Platform { listen } => {
+            let server = PlatformServer::start(listen, Memory::new())?;
+            println!("{}", server.address());
+            std::future::pending().await
+        }
+        StandinCommand::Target {
+            listen,
+            name,
+            slots,
+            service_ms,
+        } => {
+            let options = TargetOptions {
+                name,
+                slots,
+                service_time: std::time::Duration::from_millis(service_ms),
+                ..TargetOptions::default()
+            };
+            let target = Target::start(listen, options)?;
+            println!("{}", target.address());
+            std::future::pending().await
+        }
+    }
+}
+
+/// `bluebellgap demo`
+pub(crate) async fn demo(seconds: u64) -> Result<()> {
+    bench::demo(std::time::Duration::from_secs(seconds)).await?;
+    Ok(())
+}
+
+/// `bluebellgap bench`
+pub(crate) async fn bench(command: BenchCommand) -> Result<()> {
+    match command {
+        BenchCommand::Rollout => bench::rollout().await?,
+        BenchCommand::Crest => bench::crest().await?,
+        BenchCommand::Mixed => bench::mixed().await?,
+        BenchCommand::Slow => bench::slow().await?,
+        BenchCommand::Added => bench::added().await?,
+        BenchCommand::Control => bench::control().await?,
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/bundle/codec.rs
@@ -0,0 +1,110 @@
+//! Canonical bytes of a bundle, and their digest.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+use crate::bundle::Bundle;
+use crate::error::{Error, Result};
+
+/// Largest accepted size of a bundle's canonical bytes.
+pub const MAX_BUNDLE_BYTES: usize = 4 * 1024 * 1024;
+
+/// SHA-256 of a bundle's canonical bytes.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Digest([u8; 32]);
+
+impl Digest {
+    /// Digest of `bytes`.
+    ///
+    /// ```
+    /// use bluebellgap::bundle::Digest;
+    /// let digest = Digest::of(b"");
+    /// assert!(digest.to_string().starts_with("e3b0c442"));
+    /// assert_eq!(digest.to_string().parse::<Digest>().unwrap(), digest);
+    /// ```
+    #[must_use]
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(Sha256::digest(bytes).into())
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&hex::encode(self.0))
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&hex::encode(&self.0[..6]))
+    }
+}
+
+impl FromStr for Digest {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let mut bytes = [0; 32];
+        hex::decode_to_slice(text, &mut bytes)
+            .map_err(|_| Error::Bundle(format!("'{text}' is not a digest of 64 hex digits")))?;
+        Ok(Self(bytes))
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self> {
+        text.parse()
+    }
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> Self {
+        digest.to_string()
+    }
+}
+
+/// Canonical bytes of `bundle`: JSON with sorted keys and without spaces.
+///
+/// # Errors
+/// [`Error::Bundle`] if the bytes exceed [`MAX_BUNDLE_BYTES`].
+pub fn encode(bundle: &Bundle) -> Result<Vec<u8>> {
+    let bytes = serde_json::to_vec(bundle).map_err(|error| Error::Bundle(error.to_string()))?;
+    check_size(bytes.len())?;
+    Ok(bytes)
+}
+
+/// Reads canonical bytes whose digest must be `digest`; refuses anything else as a whole.
+///
+/// # Errors
+/// [`Error::Bundle`] for oversized, altered, truncated, dangling or non-canonical bytes.
+pub fn decode(bytes: &[u8], digest: Digest) -> Result<Bundle> {
+    check_size(bytes.len())?;
+    let found = Digest::of(bytes);
+    if found != digest {
+        return Err(Error::Bundle(format!(
+            "digest is {found}, expected {digest}"
+        )));
+    }
+    let bundle: Bundle =
+        serde_json::from_slice(bytes).map_err(|error| Error::Bundle(error.to_string()))?;
+    bundle.closed().map_err(Error::Bundle)?;
+    if encode(&bundle)? != bytes {
+        return Err(Error::Bundle("bytes are not canonical".into()));
+    }
+    Ok(bundle)
+}
+
+fn check_size(size: usize) -> Result<()> {
+    if size > MAX_BUNDLE_BYTES {
+        return Err(Error::Bundle(format!(
+            "{size} bytes, at most {MAX_BUNDLE_BYTES} are accepted"
+        )));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/bundle/mod.rs
@@ -0,0 +1,38 @@
+//! Configuration bundles: the model, its checks, its canonical bytes and its signatures.
+
+mod codec;
+mod model;
+mod read;
+mod sign;
+
+pub use codec::{Digest, MAX_BUNDLE_BYTES, decode, encode};
+pub use model::{Bundle, Class, ClassKind, Group, Route, Service, Tenant};
+pub use sign::{Key, Signature, Signer, Trust};
+
+/// Number of a signed-off bundle; versions only grow.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+    derive_more::Display,
+    derive_more::From,
+    derive_more::FromStr,
+)]
+#[serde(transparent)]
+pub struct Version(pub u64);
+
+impl Version {
+    /// The version after this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
--- /dev/null
+++ b/src/bundle/model.rs
@@ -0,0 +1,87 @@
+//! What a bundle says: tenants, classes, target groups, services and routes.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// A whole configuration, closed in itself: every name that a part refers to is defined in it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bundle {
+    /// Name of the mesh that the bundle is for.
+    pub name: String,
+    /// Tenants by name; requests of other tenants count as `default`.
+    pub tenants: BTreeMap<String, Tenant>,
+    /// Request classes by name.
+    pub classes: BTreeMap<String, Class>,
+    /// Target groups by name.
+    pub groups: BTreeMap<String, Group>,
+    /// Services by name.
+    pub services: BTreeMap<String, Service>,
+    /// Routes by name.
+    pub routes: BTreeMap<String, Route>,
+}
+
+/// A customer whose requests share the targets with others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tenant {
+    /// Share of a busy target relative to other tenants.
+    pub weight: u32,
+}
+
+/// Whether requests of a class are expected to hold a slot for long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
+#[serde(rename_all = "lowercase")]
+pub enum ClassKind {
+    /// May use every slot.
+    #[display("short")]
+    Short,
+    /// Limited to the slots that are not reserved for short requests.
+    #[display("long")]
+    Long,
+}
+
+/// A class of requests with similar run times.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Expected slot use.
+    pub kind: ClassKind,
+}
+
+/// A group of interchangeable targets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Group {
+    /// Share of each target's slots that long classes may not use, in percent.
+    pub reserved_short_percent: u32,
+}
+
+/// A named service and the group that serves it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Name of the target group.
+    pub group: String,
+}
+
+/// Which requests go to which service, and how they are treated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Host that must match; any host where absent.
+    pub host: Option<String>,
+    /// Path prefix, matched at segment borders.
+    pub path: String,
+    /// Method that must match; any method where absent.
+    pub method: Option<String>,
+    /// Service that the requests go to.
+    pub service: String,
+    /// Class of the requests.
+    pub class: String,
+    /// Whether running a request twice is harmless.
+    pub idempotent: bool,
+    /// Time in which the whole answer must have begun, in milliseconds.
+    pub timeout_ms: u64,
+}
--- /dev/null
+++ b/src/bundle/read.rs
@@ -0,0 +1,193 @@
+//! Reads a bundle from its INI source and checks that it is closed.
+
+use crate::bundle::model::{Bundle, Class, ClassKind, Group, Route, Service, Tenant};
+use crate::error::Result;
+use crate::ini::{Document, Faults, Reader, Section};
+
+const SECTION_KINDS: [&str; 6] = ["bundle", "tenant", "class", "group", "service", "route"];
+const MAX_TIMEOUT_MS: u64 = 3_600_000;
+const DEFAULT_TIMEOUT_MS: u64 = 2_000;
+const DEFAULT_RESERVED_SHORT_PERCENT: u64 = 25;
+const MAX_NAME_BYTES: usize = 63;
+
+impl Bundle {
+    /// Reads a bundle from INI text.
+    ///
+    /// ```
+    /// use bluebellgap::bundle::Bundle;
+    /// let text = "[bundle]\nname = demo\n[class short]\nkind = short\n[group depot]\n\
+    ///     [service booking]\ngroup = depot\n\
+    ///     [route book]\npath = /book\nservice = booking\nclass = short\nidempotent = no\n";
+    /// let bundle = Bundle::read(text).unwrap();
+    /// assert_eq!(bundle.routes["book"].service, "booking");
+    /// let dangling = text.replace("service = booking", "service = gone");
+    /// let error = Bundle::read(&dangling).unwrap_err();
+    /// assert!(error.to_string().contains("line 9: [route book] service"));
+    /// ```
+    ///
+    /// # Errors
+    /// [`crate::Error::Invalid`] with every fault, each with section, key and line.
+    pub fn read(text: &str) -> Result<Self> {
+        let mut faults = Faults::default();
+        let document = Document::parse(text, &mut faults);
+        document.check_kinds(&SECTION_KINDS, &mut faults);
+        let mut bundle = Self::default();
+        for section in &document.sections {
+            bundle.take(section, &mut faults);
+        }
+        if bundle.name.is_empty() && !document.sections.iter().any(|s| s.kind == "bundle") {
+            faults.add(
+                &Section {
+                    kind: "bundle".into(),
+                    name: String::new(),
+                    line: 1,
+                    entries: Vec::new(),
+                },
+                "name",
+                "is required",
+            );
+        }
+        bundle.check(&document, &mut faults);
+        faults.into_result(|| bundle)
+    }
+
+    fn take(&mut self, section: &Section, faults: &mut Faults) {
+        let mut reader = Reader::new(section, faults);
+        let name = section.name.clone();
+        if section.kind != "bundle" && !valid_name(&name) {
+            reader.reject("-", "name must be 1 to 63 letters, digits, '-', '_' or '.'");
+        }
+        match section.kind.as_str() {
+            "bundle" => self.name = reader.required("name"),
+            "tenant" => {
+                self.tenants.insert(name, read_tenant(&mut reader));
+            }
+            "class" => {
+                self.classes.insert(name, read_class(&mut reader));
+            }
+            "group" => {
+                self.groups.insert(name, read_group(&mut reader));
+            }
+            "service" => {
+                let group = reader.required("group");
+                self.services.insert(name, Service { group });
+            }
+            "route" => {
+                self.routes.insert(name, read_route(&mut reader));
+            }
+            _ => return,
+        }
+        reader.finish();
+    }
+
+    /// Reports every reference to a name that the bundle does not define.
+    fn check(&self, document: &Document, faults: &mut Faults) {
+        for section in document.of_kind("service") {
+            let service = &self.services[&section.name];
+            if !service.group.is_empty() && !self.groups.contains_key(&service.group) {
+                let message = format!("no [group {}] in this bundle", service.group);
+                faults.add(section, "group", message);
+            }
+        }
+        for section in document.of_kind("route") {
+            self.check_route(&self.routes[&section.name], section, faults);
+        }
+    }
+
+    fn check_route(&self, route: &Route, section: &Section, faults: &mut Faults) {
+        if !route.service.is_empty() && !self.services.contains_key(&route.service) {
+            let message = format!("no [service {}] in this bundle", route.service);
+            faults.add(section, "service", message);
+        }
+        if !route.class.is_empty() && !self.classes.contains_key(&route.class) {
+            let message = format!("no [class {}] in this bundle", route.class);
+            faults.add(section, "class", message);
+        }
+        if !route.path.is_empty() && !route.path.starts_with('/') {
+            faults.add(section, "path", "must begin with '/'");
+        }
+        let twin = self
+            .routes
+            .iter()
+            .find(|(name, other)| **name != section.name && same_match(other, route));
+        if let Some((name, _)) = twin {
+            let message = format!("matches the same requests as [route {name}]");
+            faults.add(section, "path", message);
+        }
+    }
+
+    /// Whether every name that a part refers to is defined; the text names the first that is not.
+    pub(crate) fn closed(&self) -> Result<(), String> {
+        for (name, service) in &self.services {
+            if !self.groups.contains_key(&service.group) {
+                return Err(format!("service {name}: no group {}", service.group));
+            }
+        }
+        for (name, route) in &self.routes {
+            if !self.services.contains_key(&route.service) {
+                return Err(format!("route {name}: no service {}", route.service));
+            }
+            if !self.classes.contains_key(&route.class) {
+                return Err(format!("route {name}: no class {}", route.class));
+            }
+            if !route.path.starts_with('/') || !(1..=MAX_TIMEOUT_MS).contains(&route.timeout_ms) {
+                return Err(format!("route {name}: path or timeout out of range"));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn same_match(one: &Route, other: &Route) -> bool {
+    one.host == other.host && one.path == other.path && one.method == other.method
+}
+
+fn valid_name(name: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.chars().all(allowed)
+}
+
+fn read_tenant(reader: &mut Reader) -> Tenant {
+    let weight = reader.number("weight", 1..=1_000, 1);
+    Tenant {
+        weight: u32::try_from(weight).unwrap_or(1),
+    }
+}
+
+fn read_class(reader: &mut Reader) -> Class {
+    let kind = match reader.required("kind").as_str() {
+        "short" | "" => ClassKind::Short,
+        "long" => ClassKind::Long,
+        other => {
+            reader.reject("kind", format!("'{other}' found, expected short or long"));
+            ClassKind::Short
+        }
+    };
+    Class { kind }
+}
+
+fn read_group(reader: &mut Reader) -> Group {
+    let percent = reader.number(
+        "reserved_short_percent",
+        0..=90,
+        DEFAULT_RESERVED_SHORT_PERCENT,
+    );
+    Group {
+        reserved_short_percent: u32::try_from(percent).unwrap_or(0),
+    }
+}
+
+fn read_route(reader: &mut Reader) -> Route {
+    if reader.text("idempotent").is_none() {
+        reader.reject("idempotent", "is required: yes or no");
+    }
+    Route {
+        host: reader.text("host"),
+        path: reader.required("path"),
+        method: reader.text("method"),
+        service: reader.required("service"),
+        class: reader.required("class"),
+        idempotent: reader.flag("idempotent", false),
+        timeout_ms: reader.number("timeout_ms", 1..=MAX_TIMEOUT_MS, DEFAULT_TIMEOUT_MS),
+    }
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,9 @@
+//! Shared HTTP/1 plumbing over `hyper`: bodies, a connection pool and an accept loop.
+
+mod body;
+mod pool;
+mod server;
+
+pub(crate) use body::{Body, Held, Release, empty, full, read_whole};
+pub(crate) use pool::{Connection, Pool, SendError};
+pub(crate) use server::{Handler, Server, bind, json};
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,32 @@
+//! bluebellgap distributes signed configuration bundles to the proxies of a service mesh, and
+//! routes calls to healthy targets while versions change.
+//!
+//! [`node::Node`] is the process beside each target. [`rollout::Operator`] is what operators drive
+//! it with, through the platform's table service and object store ([`platform::Platform`]).
+
+#[cfg(feature = "standin")]
+pub mod bench;
+pub mod bundle;
+pub mod error;
+pub mod ini;
+pub mod node;
+pub mod platform;
+pub mod rollout;
+pub mod roster;
+pub mod settings;
+#[cfg(feature = "standin")]
+pub mod standin;
+pub mod telemetry;
+pub mod verdict;
+
+mod admission;
+mod claim;
+mod http;
+mod peers;
+mod proxy;
+mod route;
+mod wire;
+
+pub use error::{Error, Result};
+pub use node::Node;
+pub use settings::Settings;
--- /dev/null
+++ b/src/node/control.rs
@@ -0,0 +1,207 @@
+//! The node's control listener: JSON-RPC over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::server::{ServerConfig, serve, stop_channel};
+use jsonrpsee::types::ErrorObjectOwned;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::node::core::{Core, Task};
+use crate::node::delivery;
+use crate::peers::REGION_HEADER;
+use crate::rollout::Tally;
+use crate::roster::{Change, Member};
+use crate::telemetry::CountedStream;
+use crate::wire::{
+    Alive, Claim, ControlServer, Delivery, Exchange, Grant, News, Owner, OwnerQuery, Pull,
+    Settlement, Silence, Welcome,
+};
+
+const MAX_MESSAGE_BYTES: u32 = 64 * 1024 * 1024;
+const MAX_CONNECTIONS: u32 = 4_096;
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+const PEERS_PER_WELCOME: usize = 4;
+const STALE_EPOCH: i32 = -32_001;
+
+/// The control listener, bound but not accepting.
+pub(super) struct Listener {
+    listener: std::sync::Mutex<Option<TcpListener>>,
+    address: SocketAddr,
+}
+
+impl Listener {
+    pub(super) fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        let listener = crate::http::bind(address)?;
+        let address = listener.local_addr()?;
+        Ok(Self {
+            listener: std::sync::Mutex::new(Some(listener)),
+            address,
+        })
+    }
+
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Accepts connections until `stopped` closes.
+    pub(super) fn start(&self, core: Arc<Core>, stopped: watch::Receiver<()>) {
+        let mut slot = self
+            .listener
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        if let Some(listener) = slot.take() {
+            tokio::spawn(accept(listener, core, stopped));
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, core: Arc<Core>, mut stopped: watch::Receiver<()>) {
+    let methods = Endpoint { core: core.clone() }.into_rpc();
+    let (stop_handle, _server_handle) = stop_channel();
+    let config = ServerConfig::builder()
+        .http_only()
+        .max_request_body_size(MAX_MESSAGE_BYTES)
+        .max_response_body_size(MAX_MESSAGE_BYTES)
+        .max_connections(MAX_CONNECTIONS)
+        .build();
+    let builder = jsonrpsee::server::Server::builder()
+        .set_config(config)
+        .to_service_builder();
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.changed() => return,
+        };
+        let Ok((stream, _)) = stream else {
+            tokio::time::sleep(ACCEPT_RETRY).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let counted = core.traffic.open();
+        let stream = CountedStream::new(stream, counted.clone());
+        let service = builder.clone().build(methods.clone(), stop_handle.clone());
+        let core = core.clone();
+        let label = counted.clone();
+        let service = tower::service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
+            if let Some(region) = request.headers().get(REGION_HEADER) {
+                label
+                    .region
+                    .get_or_init(|| region.to_str().unwrap_or_default().to_owned());
+            }
+            let mut service = service.clone();
+            async move {
+                let answer = tower::Service::call(&mut service, request).await;
+                answer.map_err(|error| std::io::Error::other(error.to_string()))
+            }
+        });
+        let mut stopped = stopped.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = serve(stream, service) => {}
+                _ = stopped.changed() => {}
+            }
+            core.traffic.close(&counted);
+        });
+    }
+}
+
+struct Endpoint {
+    core: Arc<Core>,
+}
+
+impl Endpoint {
+    fn welcome(&self, accepted: bool, standby: bool) -> Welcome {
+        Welcome {
+            registrar: self.core.lease.holding(),
+            accepted,
+            head: self.core.agent.head(),
+            positions: self.core.with_view(crate::roster::View::positions),
+            peers: self.core.some_peers(PEERS_PER_WELCOME),
+            standby,
+        }
+    }
+}
+
+#[async_trait]
+impl ControlServer for Endpoint {
+    async fn announce(&self, member: Member) -> RpcResult<Welcome> {
+        self.core.counters.count("announcements");
+        let accepted = self.core.lease.holding().is_some()
+            && member.data_center == self.core.settings.data_center;
+        let standby = accepted && super::lead::is_standby(&self.core, &member.node);
+        let queued = accepted
+            && self
+                .core
+                .tasks
+                .try_send(Task::Announce(Box::new(member)))
+                .is_ok();
+        Ok(self.welcome(queued, standby))
+    }
+
+    async fn deliver(&self, delivery: Delivery) -> RpcResult<Tally> {
+        if !self.core.heard_registrar(&delivery.registrar) {
+            let message = "a newer registrar is known";
+            return Err(ErrorObjectOwned::owned(STALE_EPOCH, message, None::<()>));
+        }
+        Ok(delivery::accept(&self.core, delivery).await)
+    }
+
+    async fn pull(&self, pull: Pull) -> RpcResult<News> {
+        let head = self.core.agent.head();
+        let updates = self.core.with_view(|view| view.newer_than(&pull.positions));
+        let head = (head.revision > pull.revision).then_some(head);
+        Ok(News { head, updates })
+    }
+
+    async fn exchange(&self, exchange: Exchange) -> RpcResult<()> {
+        let task = Task::Exchange(exchange.updates, exchange.relay);
+        let _ = self.core.tasks.try_send(task);
+        Ok(())
+    }
+
+    async fn silent(&self, silence: Silence) -> RpcResult<()> {
+        let center = &self.core.settings.data_center;
+        let member = self.core.with_view(|view| view.find(center, &silence.node));
+        let current = member.filter(|member| member.incarnation == silence.incarnation);
+        if let Some(member) = current {
+            let _ = self
+                .core
+                .tasks
+                .try_send(Task::Silent(Box::new((*member).clone())));
+        }
+        Ok(())
+    }
+
+    async fn probe(&self) -> RpcResult<Alive> {
+        let member = self.core.member();
+        Ok(Alive {
+            node: member.node,
+            incarnation: member.incarnation,
+        })
+    }
+
+    async fn report(&self, change: Change) -> RpcResult<()> {
+        if self.core.lease.holding().is_some() {
+            let _ = self.core.tasks.try_send(Task::Change(change));
+        }
+        Ok(())
+    }
+
+    async fn claim(&self, claim: Claim) -> RpcResult<Grant> {
+        Ok(self.core.claims.claim(claim).await)
+    }
+
+    async fn settle(&self, settlement: Settlement) -> RpcResult<()> {
+        self.core.claims.settle(settlement).await;
+        Ok(())
+    }
+
+    async fn owner(&self, query: OwnerQuery) -> RpcResult<Option<Owner>> {
+        Ok(self.core.claims.owner(query).await)
+    }
+}
--- /dev/null
+++ b/src/node/lead.rs
@@ -0,0 +1,433 @@
+//! The registrar's work, done by the node that holds its data centre's lease: follow the rollout
+//! row, number roster changes, send the heartbeat, report to the platform, drive rolls.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use jsonrpsee_http_client::HttpClient;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+
+use crate::error::{Error, Result};
+use crate::node::core::{Core, Task};
+use crate::node::delivery;
+use crate::node::membership::{self, CALL_TIMEOUT};
+use crate::platform::{Holder, LEASE_PREFIX, Row, Transaction};
+use crate::rollout::{Driver, Head, ROLLOUT_KEY, Report, Rollout, Tally, position, report_key};
+use crate::roster::{Change, Member, Registrar, Update};
+use crate::wire::{ControlClient as _, Exchange};
+
+const TICK: Duration = Duration::from_millis(50);
+const PREPARING_POLL: Duration = Duration::from_millis(50);
+const DIRECTORY_PERIOD: Duration = Duration::from_secs(2);
+const UNSETTLED_BEAT: Duration = Duration::from_millis(200);
+const DELIVERY_BUDGET: Duration = Duration::from_secs(3);
+const STANDBYS: usize = 2;
+const REFRESHES_UNTIL_STALE: u32 = 3;
+const STANDBY_SEED: u64 = 1;
+
+/// Whether `node` should watch the lease: the first few members of the data centre on a ring.
+pub(super) fn is_standby(core: &Core, node: &str) -> bool {
+    let roster = core.roster();
+    let mut nodes: Vec<(u64, &str)> = roster
+        .center(&core.settings.data_center)
+        .iter()
+        .filter(|member| member.node != core.settings.node)
+        .map(|member| (position(STANDBY_SEED, &member.node), member.node.as_str()))
+        .collect();
+    nodes.sort_unstable();
+    nodes
+        .iter()
+        .take(STANDBYS)
+        .any(|(_, standby)| *standby == node)
+}
+
+/// Acts as registrar whenever this node holds the lease, until the node stops.
+pub(super) async fn run(core: Arc<Core>, mut stopped: watch::Receiver<()>) {
+    let inbox = core
+        .inbox
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
+        .take();
+    let Some(mut inbox) = inbox else { return };
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(TICK) => {}
+            _ = stopped.changed() => return,
+        }
+        if let Some(holder) = core.lease.holding() {
+            log::info!(
+                "registrar of {} under epoch {}",
+                holder.data_center,
+                holder.epoch
+            );
+            let renewing = tokio::spawn(renew(core.clone(), stopped.clone()));
+            tokio::select! {
+                () = Lead::new(&core, holder).serve(&mut inbox) => {}
+                _ = stopped.changed() => return,
+            }
+            renewing.abort();
+            log::info!("no longer registrar");
+        }
+        while inbox.try_recv().is_ok() {}
+    }
+}
+
+/// Renews the lease three times a term, until it is lost.
+async fn renew(core: Arc<Core>, mut stopped: watch::Receiver<()>) {
+    let mut available = true;
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(core.settings.timing.lease_term / 3) => {}
+            _ = stopped.changed() => return,
+        }
+        let outcome = core.lease.renew().await;
+        if outcome.is_ok() != available {
+            available = outcome.is_ok();
+            log::warn!(
+                "platform {}",
+                if available {
+                    "available"
+                } else {
+                    "unavailable"
+                }
+            );
+        }
+        if core.lease.holding().is_none() && matches!(outcome, Ok(false)) {
+            return;
+        }
+    }
+}
+
+/// Reads the rollout row, and carries it out on this node first.
+async fn follow_rollout(core: Arc<Core>, holder: Holder) {
+    loop {
+        match core.platform.table.get(ROLLOUT_KEY).await {
+            Ok(Some(row)) => learn_rollout(&core, &row),
+            Ok(None) => {}
+            Err(_) => core.counters.count("platform_failures"),
+        }
+        if !core.agent.settled() {
+            catch_up(&core, &holder).await;
+        }
+        let preparing = core.agent.head().candidate.is_some();
+        let poll = core.settings.timing.poll;
+        tokio::time::sleep(if preparing {
+            PREPARING_POLL.min(poll)
+        } else {
+            poll
+        })
+        .await;
+    }
+}
+
+fn learn_rollout(core: &Core, row: &Row) {
+    match row.parse::<Rollout>() {
+        Ok(rollout) => {
+            core.agent.learn(&Head::new(&rollout, row.revision));
+        }
+        Err(error) => log::warn!("{error}"),
+    }
+}
+
+/// Fetches what the head names: from the object store if this node leads its region, else from
+/// the node that does, and from the store only if that fails.
+async fn catch_up(core: &Arc<Core>, holder: &Holder) {
+    let directory = core.directory();
+    let mut leads = directory
+        .iter()
+        .filter(|other| other.region == holder.region);
+    let lead = leads.next().filter(|lead| lead.node != holder.node);
+    let peers = lead.iter().map(|lead| lead.mesh).collect();
+    core.agent
+        .catch_up(&core.sources(peers, lead.is_none()))
+        .await;
+    if !core.agent.settled() {
+        core.agent.catch_up(&core.sources(Vec::new(), true)).await;
+    }
+}
+
+/// Keeps the list of all data centres' registrars.
+async fn list_registrars(core: Arc<Core>) {
+    loop {
+        if let Ok(rows) = core.platform.table.scan(LEASE_PREFIX).await {
+            let holders = rows.iter().map(Row::parse).collect::<Result<Vec<Holder>>>();
+            core.set_directory(holders.unwrap_or_default());
+        }
+        tokio::time::sleep(DIRECTORY_PERIOD).await;
+    }
+}
+
+/// Drives rolls while this registrar is the first in the directory.
+async fn drive(core: Arc<Core>, holder: Holder) {
+    let mut driver = Driver::new(core.platform.clone(), core.settings.timing.prepare_bound);
+    loop {
+        tokio::time::sleep(PREPARING_POLL).await;
+        let directory = core.directory();
+        let first = directory
+            .first()
+            .is_none_or(|first| first.node == holder.node);
+        if !first || core.agent.head().candidate.is_none() {
+            continue;
+        }
+        let centers: Vec<String> = directory.iter().map(|h| h.data_center.clone()).collect();
+        if let Err(error) = driver.step(&centers).await {
+            log::debug!("driving the roll: {error}");
+        }
+    }
+}
+
+struct Lead<'a> {
+    core: &'a Arc<Core>,
+    registrar: Registrar,
+    holder: Holder,
+    outbox: Vec<Update>,
+    listed: Option<Instant>,
+    beaten: Option<Instant>,
+    delivered_revision: u64,
+    settled: bool,
+    reports: watch::Sender<Report>,
+    tallies: mpsc::Sender<(u64, Tally)>,
+    answered: mpsc::Receiver<(u64, Tally)>,
+    /// Tasks that end with the role.
+    _helpers: JoinSet<()>,
+}
+
+impl<'a> Lead<'a> {
+    fn new(core: &'a Arc<Core>, holder: Holder) -> Self {
+        let center = &core.settings.data_center;
+        let position = core.with_view(|view| view.position(center));
+        let (tallies, answered) = mpsc::channel(64);
+        let (reports, latest) = watch::channel(Report::default());
+        let mut helpers = JoinSet::new();
+        helpers.spawn(follow_rollout(core.clone(), holder.clone()));
+        helpers.spawn(list_registrars(core.clone()));
+        helpers.spawn(drive(core.clone(), holder.clone()));
+        helpers.spawn(write_reports(core.clone(), latest));
+        Self {
+            core,
+            registrar: Registrar::new(center, position, holder.epoch),
+            holder,
+            outbox: Vec::new(),
+            listed: None,
+            beaten: None,
+            delivered_revision: 0,
+            settled: false,
+            reports,
+            tallies,
+            answered,
+            _helpers: helpers,
+        }
+    }
+
+    /// Works until the lease is lost. Never waits for the platform, so that heartbeats and
+    /// roster changes go on while it is down.
+    async fn serve(mut self, inbox: &mut mpsc::Receiver<Task>) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        while self.core.lease.holding().is_some() {
+            tokio::select! {
+                Some(task) = inbox.recv() => self.take(task),
+                Some((revision, tally)) = self.answered.recv() => self.report(revision, tally),
+                _ = tick.tick() => self.step(),
+            }
+        }
+    }
+
+    fn take(&mut self, task: Task) {
+        match task {
+            Task::Announce(member) => {
+                self.core
+                    .with_view(|view| self.registrar.announce(*member, view));
+            }
+            Task::Change(change) => self.registrar.add(change),
+            Task::Exchange(updates, relay) => self.take_exchange(updates, relay),
+            Task::Silent(member) => self.check_silent(*member),
+        }
+    }
+
+    /// Takes other data centres' updates and passes them on inside the region.
+    fn take_exchange(&mut self, mut updates: Vec<Update>, relay: bool) {
+        updates.retain(|update| {
+            let known = self
+                .core
+                .with_view(|view| view.position(&update.data_center));
+            known < update.position && update.data_center != self.holder.data_center
+        });
+        if updates.is_empty() {
+            return;
+        }
+        self.core.apply(&updates);
+        if relay {
+            let neighbours = self.registrars(|holder| holder.region == self.holder.region);
+            self.exchange(&neighbours, &updates, false);
+        }
+        self.outbox.extend(updates);
+    }
+
+    /// Probes a member that its neighbour finds silent, and drops it if it does not answer.
+    fn check_silent(&self, member: Member) {
+        let core = self.core.clone();
+        tokio::spawn(async move {
+            if membership::probe(&core, &member).await || membership::probe(&core, &member).await {
+                return;
+            }
+            core.counters.count("members_dropped");
+            log::info!("member {} does not answer", member.node);
+            let change = Change::Left {
+                node: member.node,
+                incarnation: member.incarnation,
+            };
+            let _ = core.tasks.try_send(Task::Change(change));
+        });
+    }
+
+    fn step(&mut self) {
+        if due(&mut self.listed, DIRECTORY_PERIOD) {
+            self.check_unconfirmed();
+        }
+        self.flush();
+        self.deliver();
+    }
+
+    /// Probes members that have not announced themselves for long.
+    fn check_unconfirmed(&mut self) {
+        let term = self.core.settings.timing.refresh * REFRESHES_UNTIL_STALE;
+        let roster = self.core.roster();
+        let members = roster.center(&self.holder.data_center);
+        for member in self.registrar.unconfirmed(members, term) {
+            self.registrar.confirm(&member.node);
+            self.check_silent(member);
+        }
+    }
+
+    /// Numbers pending changes, and sends them to the other data centres.
+    fn flush(&mut self) {
+        while let Some(update) = self.registrar.flush() {
+            self.core.apply(std::slice::from_ref(&update));
+            let updates = vec![update];
+            let near = self.registrars(|holder| holder.region == self.holder.region);
+            self.exchange(&near, &updates, false);
+            self.exchange(&self.other_regions(), &updates, true);
+            self.outbox.extend(updates);
+        }
+    }
+
+    /// One registrar in each other region, which relays inside its region.
+    fn other_regions(&self) -> Vec<Holder> {
+        let mut leads: Vec<Holder> = Vec::new();
+        for holder in self.registrars(|holder| holder.region != self.holder.region) {
+            if leads.iter().all(|lead| lead.region != holder.region) {
+                leads.push(holder);
+            }
+        }
+        leads
+    }
+
+    fn exchange(&self, recipients: &[Holder], updates: &[Update], relay: bool) {
+        for recipient in recipients {
+            let message = Exchange {
+                updates: updates.to_vec(),
+                relay,
+            };
+            let core = self.core.clone();
+            let address = recipient.control;
+            tokio::spawn(async move {
+                let call = async |client: HttpClient| client.exchange(message).await;
+                if core.peers.call(address, CALL_TIMEOUT, call).await.is_err() {
+                    core.counters.count("exchanges_failed");
+                }
+            });
+        }
+    }
+
+    /// Other registrars that `fits`, in data centre order.
+    fn registrars(&self, fits: impl Fn(&Holder) -> bool) -> Vec<Holder> {
+        let directory = self.core.directory();
+        let others = directory
+            .iter()
+            .filter(|h| h.data_center != self.holder.data_center);
+        others.filter(|holder| fits(holder)).cloned().collect()
+    }
+
+    /// Sends a heartbeat if it is due or there is news.
+    fn deliver(&mut self) {
+        let revision = self.core.agent.head().revision;
+        let news = !self.outbox.is_empty() || revision > self.delivered_revision;
+        let timing = self.core.settings.timing;
+        let period = if self.settled {
+            timing.beat
+        } else {
+            UNSETTLED_BEAT.min(timing.beat)
+        };
+        let beat = due(&mut self.beaten, period);
+        if !news && !beat {
+            return;
+        }
+        self.beaten = Some(Instant::now());
+        self.delivered_revision = revision;
+        self.settled = !news && self.settled;
+        let mut message = delivery::whole(self.core, self.holder.clone());
+        message.updates = std::mem::take(&mut self.outbox);
+        let core = self.core.clone();
+        let tallies = self.tallies.clone();
+        core.heard_registrar(&self.holder);
+        tokio::spawn(async move {
+            let mut tally = delivery::forward(&core, &message, DELIVERY_BUDGET).await;
+            tally.merge(delivery::own_tally(&core));
+            let _ = tallies.send((message.head.revision, tally)).await;
+        });
+    }
+
+    fn report(&mut self, revision: u64, tally: Tally) {
+        let head = self.core.agent.head();
+        if revision < self.reports.borrow().revision {
+            return;
+        }
+        let awaited = head
+            .candidate
+            .iter()
+            .chain(&head.active)
+            .map(|release| release.version);
+        let pending =
+            awaited.map(|version| tally.heard() - tally.ready_for(version).min(tally.heard()));
+        self.settled = revision == head.revision && pending.sum::<usize>() == 0;
+        let report = Report {
+            data_center: self.holder.data_center.clone(),
+            revision,
+            tally,
+        };
+        self.reports.send_if_modified(|latest| {
+            let changed = *latest != report;
+            *latest = report;
+            changed
+        });
+    }
+}
+
+/// Writes the latest report to the platform whenever it has changed. Ends when the lead is gone.
+async fn write_reports(core: Arc<Core>, mut latest: watch::Receiver<Report>) {
+    while latest.changed().await.is_ok() {
+        loop {
+            let report = latest.borrow_and_update().clone();
+            let key = report_key(&report.data_center);
+            let written = match core.lease.guard(Transaction::default().put(&key, &report)) {
+                Ok(transaction) => core.platform.table.transact(&transaction).await.map(|_| ()),
+                Err(error) => Err(error),
+            };
+            match written {
+                Err(Error::Unavailable(_)) => tokio::time::sleep(CALL_TIMEOUT).await,
+                _ => break,
+            }
+        }
+    }
+}
+
+/// Whether `period` has passed since `last`, which is then set to now.
+fn due(last: &mut Option<Instant>, period: Duration) -> bool {
+    if last.is_some_and(|last| last.elapsed() < period) {
+        return false;
+    }
+    *last = Some(Instant::now());
+    true
+}
--- /dev/null
+++ b/src/proxy/caller.rs
@@ -0,0 +1,83 @@
+//! The caller side: takes requests from callers, matches a route, dispatches.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use async_trait::async_trait;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+
+use crate::http::{Body, Handler, read_whole};
+use crate::node::Core;
+use crate::proxy::call::Call;
+use crate::proxy::{attempt, claimed, headers};
+use crate::verdict::{Reason, Refusal, Verdict};
+
+/// Answers callers.
+pub(super) struct CallerSide {
+    pub core: Arc<Core>,
+}
+
+#[async_trait]
+impl Handler for CallerSide {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        let counters = &self.core.counters;
+        counters.count("calls");
+        match self.serve(request).await {
+            Ok(response) => response,
+            Err(refusal) => {
+                let verdict = match refusal.verdict {
+                    Verdict::NotRun => "not_run",
+                    Verdict::MayHaveRun => "may_have_run",
+                };
+                counters.count(&format!("refused.{verdict}"));
+                counters.count(&format!("refused.{}", headers::reason_code(refusal.reason)));
+                headers::refusal(&refusal)
+            }
+        }
+    }
+}
+
+impl CallerSide {
+    async fn serve(&self, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
+        let began = Instant::now();
+        let in_force = self.core.agent.in_force();
+        let in_force = in_force.ok_or_else(|| Refusal::not_run(Reason::NoBundle))?;
+        let (head, body) = request.into_parts();
+        let (route, deadline) = Call::resolve(&in_force, &head)?;
+        let limit = self.core.settings.limits.body_bytes;
+        let body = read_whole(body, limit).await;
+        let body = body.map_err(|_| Refusal::not_run(Reason::BadRequest))?;
+        let call = Call::new(&in_force, route, deadline, head, body);
+        drop(in_force);
+        let call = Arc::new(call);
+        let outcome = self.dispatch(&call).await;
+        self.record(&call, began);
+        outcome
+    }
+
+    async fn dispatch(&self, call: &Arc<Call>) -> Result<Response<Body>, Refusal> {
+        if self.core.suspicions.refuses(call.fingerprint) {
+            return Err(Refusal::not_run(Reason::Suspected));
+        }
+        if self
+            .core
+            .proxy
+            .throttle(&call.route.service)
+            .sheds(rand::random())
+        {
+            return Err(Refusal::not_run(Reason::Shed));
+        }
+        self.core.proxy.budget.deposit();
+        if call.route.idempotent {
+            return attempt::dispatch(&self.core, call).await;
+        }
+        claimed::dispatch(&self.core, call).await
+    }
+
+    fn record(&self, call: &Call, began: Instant) {
+        let histograms = &self.core.histograms;
+        histograms.record(&format!("tenant.{}", call.tenant), began.elapsed());
+        histograms.record(&format!("class.{}", call.route.class), began.elapsed());
+    }
+}
--- /dev/null
+++ b/src/proxy/claimed.rs
@@ -0,0 +1,103 @@
+//! Calls on routes that are not idempotent: claim, dispatch, settle.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::Response;
+
+use crate::http::{Body, full, read_whole};
+use crate::node::Core;
+use crate::proxy::call::Call;
+use crate::proxy::{attempt, headers};
+use crate::verdict::{Reason, Refusal, Verdict};
+use crate::wire::{Claim, Grant, Outcome, Recorded, Settlement};
+
+const MAX_RECORDED_BYTES: usize = 64 * 1024;
+const MAX_ANSWER_BYTES: usize = 256 * 1024 * 1024;
+
+/// Dispatches a call at most once per idempotency key; a repeat gets the recorded answer.
+pub(super) async fn dispatch(
+    core: &Arc<Core>,
+    call: &Arc<Call>,
+) -> Result<Response<Body>, Refusal> {
+    let key = call
+        .claim_key()
+        .ok_or_else(|| Refusal::not_run(Reason::KeyRequired))?;
+    let claim = Claim {
+        key,
+        fingerprint: call.fingerprint,
+        attempt: rand::random(),
+    };
+    let grant = tokio::time::timeout(call.left(), core.claims.request(&claim)).await;
+    match grant.unwrap_or(Grant::Unavailable) {
+        Grant::Granted => run(core, call, claim).await,
+        Grant::Answered(recorded) => replay(&recorded),
+        Grant::Dispatched => Err(Refusal::may_have_run(Reason::Duplicate)),
+        Grant::Mismatch => Err(Refusal::not_run(Reason::KeyReused)),
+        Grant::NotOwner | Grant::Unavailable => Err(Refusal::not_run(Reason::ClaimUnavailable)),
+    }
+}
+
+/// Runs a granted call to its end even if the caller goes away, so that a repeat can have its
+/// answer.
+async fn run(core: &Arc<Core>, call: &Arc<Call>, claim: Claim) -> Result<Response<Body>, Refusal> {
+    let core = core.clone();
+    let call = call.clone();
+    let running = tokio::spawn(async move {
+        let answer = attempt::dispatch(&core, &call).await;
+        let (answer, outcome) = conclude(answer).await;
+        let settlement = Settlement {
+            key: claim.key,
+            attempt: claim.attempt,
+            outcome,
+        };
+        tokio::spawn(async move { core.claims.report(&settlement).await });
+        answer
+    });
+    running
+        .await
+        .unwrap_or_else(|_| Err(Refusal::may_have_run(Reason::ConnectionLost)))
+}
+
+/// Reads the whole answer and says what to record of it.
+async fn conclude(
+    answer: Result<Response<Body>, Refusal>,
+) -> (Result<Response<Body>, Refusal>, Outcome) {
+    let response = match answer {
+        Ok(response) => response,
+        Err(refusal) if refusal.verdict == Verdict::NotRun => {
+            return (Err(refusal), Outcome::NotRun);
+        }
+        Err(refusal) => return (Err(refusal), Outcome::MayHaveRun),
+    };
+    let (head, body) = response.into_parts();
+    let Ok(bytes) = read_whole(body, MAX_ANSWER_BYTES).await else {
+        let refusal = Refusal::may_have_run(Reason::ConnectionLost);
+        return (Err(refusal), Outcome::MayHaveRun);
+    };
+    let outcome = record(&head, &bytes);
+    (Ok(Response::from_parts(head, full(bytes))), outcome)
+}
+
+fn record(head: &hyper::http::response::Parts, bytes: &Bytes) -> Outcome {
+    if bytes.len() > MAX_RECORDED_BYTES {
+        return Outcome::MayHaveRun;
+    }
+    Outcome::Answered(Recorded {
+        status: head.status.as_u16(),
+        content_type: headers::text(&head.headers, "content-type").map(str::to_owned),
+        body: hex::encode(bytes),
+    })
+}
+
+fn replay(recorded: &Recorded) -> Result<Response<Body>, Refusal> {
+    let unreadable = || Refusal::may_have_run(Reason::Duplicate);
+    let body = hex::decode(&recorded.body).map_err(|_| unreadable())?;
+    let mut response = Response::new(full(body));
+    *response.status_mut() = recorded.status.try_into().map_err(|_| unreadable())?;
+    if let Some(content_type) = &recorded.content_type {
+        headers::set(response.headers_mut(), "content-type", content_type);
+    }
+    headers::set(response.headers_mut(), headers::REPLAYED, "yes");
+    Ok(response)
+}
--- /dev/null
+++ b/src/proxy/headers.rs
@@ -0,0 +1,201 @@
+//! Header names of the request path, and conversions.
+
+use std::time::Duration;
+
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{Response, StatusCode};
+
+use crate::bundle::ClassKind;
+use crate::http::{Body, full};
+use crate::verdict::{HEADER as VERDICT, Reason, Refusal, Verdict};
+
+/// Prefix of the headers that belong to the system; targets cannot set them.
+const OWN_PREFIX: &str = "x-bluebellgap-";
+/// Tenant, set by callers.
+pub(super) const TENANT: &str = "x-bluebellgap-tenant";
+/// Time that is left for the request in milliseconds, set by callers and passed on to targets.
+pub(super) const DEADLINE: &str = "x-bluebellgap-deadline-ms";
+/// Reason of a refusal.
+pub(super) const REASON: &str = "x-bluebellgap-reason";
+/// Marks an answer that was recorded for an earlier request with the same idempotency key.
+pub(super) const REPLAYED: &str = "x-bluebellgap-replayed";
+/// Idempotency key, set by callers.
+pub(super) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Number of the crash that lost a request.
+pub(super) const CRASH: &str = "x-bluebellgap-crash";
+
+const REQUEST_ID: &str = "x-bluebellgap-request";
+const VERSION: &str = "x-bluebellgap-version";
+const GROUP: &str = "x-bluebellgap-group";
+const KIND: &str = "x-bluebellgap-kind";
+const WEIGHT: &str = "x-bluebellgap-weight";
+const RESERVED: &str = "x-bluebellgap-reserved-percent";
+const FINGERPRINT: &str = "x-bluebellgap-fingerprint";
+const SUSPECT: &str = "x-bluebellgap-suspect";
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// What a caller's node tells a target's node about a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Envelope {
+    /// Identifies this attempt.
+    pub request: u64,
+    /// Version that decided on the route.
+    pub version: u64,
+    /// Target group.
+    pub group: String,
+    /// Kind of the class.
+    pub kind: ClassKind,
+    /// Tenant.
+    pub tenant: String,
+    /// Weight of the tenant.
+    pub weight: u32,
+    /// Share of the slots that long classes may not use, in percent.
+    pub reserved_short_percent: u32,
+    /// Time that is left.
+    pub left: Duration,
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Whether the request was in flight at a crash.
+    pub suspect: bool,
+}
+
+impl Envelope {
+    /// Writes the envelope into a request's headers.
+    pub(super) fn write(&self, headers: &mut HeaderMap) {
+        let left = u64::try_from(self.left.as_millis()).unwrap_or(u64::MAX);
+        set_number(headers, REQUEST_ID, self.request);
+        set_number(headers, VERSION, self.version);
+        set(headers, GROUP, &self.group);
+        set(headers, KIND, &self.kind.to_string());
+        set(headers, TENANT, &self.tenant);
+        set_number(headers, WEIGHT, self.weight.into());
+        set_number(headers, RESERVED, self.reserved_short_percent.into());
+        set_number(headers, DEADLINE, left);
+        set_number(headers, FINGERPRINT, self.fingerprint);
+        if self.suspect {
+            set(headers, SUSPECT, "yes");
+        }
+    }
+
+    /// Reads an envelope back; `None` if a header is missing or malformed.
+    pub(super) fn read(headers: &HeaderMap) -> Option<Self> {
+        let kind = match text(headers, KIND)? {
+            "short" => ClassKind::Short,
+            "long" => ClassKind::Long,
+            _ => return None,
+        };
+        Some(Self {
+            request: number(headers, REQUEST_ID)?,
+            version: number(headers, VERSION)?,
+            group: text(headers, GROUP)?.to_owned(),
+            kind,
+            tenant: text(headers, TENANT)?.to_owned(),
+            weight: number(headers, WEIGHT)?.try_into().ok()?,
+            reserved_short_percent: number(headers, RESERVED)?.try_into().ok()?,
+            left: Duration::from_millis(number(headers, DEADLINE)?),
+            fingerprint: number(headers, FINGERPRINT)?,
+            suspect: headers.contains_key(SUSPECT),
+        })
+    }
+}
+
+/// Text of a header.
+pub(super) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Number in a header.
+pub(super) fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    text(headers, name)?.parse().ok()
+}
+
+/// Sets a header; a value that no header can hold is left out.
+pub(super) fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(HeaderName::from_static(name), value);
+    }
+}
+
+/// Sets a header to a number.
+pub(super) fn set_number(headers: &mut HeaderMap, name: &'static str, value: u64) {
+    headers.insert(HeaderName::from_static(name), HeaderValue::from(value));
+}
+
+/// Removes the headers that concern one connection only.
+pub(super) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
+
+/// Removes the system's own headers, so that nobody outside it can forge them.
+pub(super) fn strip_own(headers: &mut HeaderMap) {
+    let own = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(OWN_PREFIX));
+    for name in own.cloned().collect::<Vec<_>>() {
+        headers.remove(name);
+    }
+}
+
+/// The response that carries a refusal.
+pub(super) fn refusal(refusal: &Refusal) -> Response<Body> {
+    let mut response = Response::new(full(format!("{refusal}\n")));
+    *response.status_mut() = refusal.status();
+    let headers = response.headers_mut();
+    set(headers, VERDICT, &refusal.verdict.to_string());
+    set(headers, REASON, reason_code(refusal.reason));
+    if let Some(retry_after) = refusal.retry_after {
+        set_number(headers, "retry-after", retry_after.as_secs() + 1);
+    }
+    response
+}
+
+/// Reads the refusal out of another node's response; `None` if a target answered.
+pub(super) fn read_refusal(status: StatusCode, headers: &HeaderMap) -> Option<Refusal> {
+    if status.is_success() {
+        return None;
+    }
+    let verdict = Verdict::parse(text(headers, VERDICT)?)?;
+    let code = text(headers, REASON).unwrap_or_default();
+    let reason = REASONS.iter().find(|(_, known)| *known == code);
+    Some(Refusal {
+        reason: reason.map_or(Reason::ConnectionLost, |(reason, _)| *reason),
+        verdict,
+        retry_after: None,
+    })
+}
+
+const REASONS: [(Reason, &str); 14] = [
+    (Reason::NoBundle, "no-bundle"),
+    (Reason::NoRoute, "no-route"),
+    (Reason::BadRequest, "bad-request"),
+    (Reason::KeyRequired, "key-required"),
+    (Reason::NoTarget, "no-target"),
+    (Reason::Overloaded, "overloaded"),
+    (Reason::Draining, "draining"),
+    (Reason::Deadline, "deadline"),
+    (Reason::ConnectionLost, "connection-lost"),
+    (Reason::Suspected, "suspected"),
+    (Reason::ClaimUnavailable, "claim-unavailable"),
+    (Reason::Duplicate, "duplicate"),
+    (Reason::KeyReused, "key-reused"),
+    (Reason::Shed, "shed"),
+];
+
+/// Short form of a reason, for headers and counters.
+pub(super) fn reason_code(reason: Reason) -> &'static str {
+    let found = REASONS.iter().find(|(known, _)| *known == reason);
+    found.map_or("unknown", |(_, code)| code)
+}
--- /dev/null
+++ b/src/rollout/operator.rs
@@ -0,0 +1,450 @@
+//! Operators' actions on the rollout. Each is one conditional write of the rollout row.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::bundle::{self, Bundle, Digest, Signer, Version};
+use crate::error::{Error, Result};
+use crate::platform::{Platform, Row, Transaction};
+use crate::rollout::shelf::{compress, decompress};
+use crate::rollout::state::{Action, Candidate, Draft, LastAction, Phase, Release, Rollout};
+use crate::rollout::{REPORT_PREFIX, ROLLOUT_KEY, Report, bundle_key};
+
+const MAX_TRIES: u32 = 8;
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Name of the object with a whole compressed bundle.
+pub(crate) fn object_name(digest: Digest) -> String {
+    format!("bundle-{digest}")
+}
+
+/// Name of the object with a bundle compressed against another one.
+pub(crate) fn delta_name(base: Digest, digest: Digest) -> String {
+    format!("delta-{base}-{digest}")
+}
+
+/// What an operator sees of a roll.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct Status {
+    /// The rollout row.
+    pub rollout: Rollout,
+    /// One report per data centre, in name order.
+    pub reports: Vec<Report>,
+}
+
+impl Status {
+    /// Number of nodes that answered and have the accepted version in force, and of all nodes
+    /// that answered.
+    #[must_use]
+    pub fn in_force(&self) -> (usize, usize) {
+        let version = self.rollout.active_version();
+        let tallies = || self.reports.iter().map(|report| &report.tally);
+        let current = tallies().filter_map(|tally| tally.in_force.get(&version));
+        (
+            current.sum(),
+            tallies().map(crate::rollout::Tally::heard).sum(),
+        )
+    }
+}
+
+/// One operator at the platform.
+pub struct Operator {
+    platform: Platform,
+    name: String,
+}
+
+/// The rollout row and the row of one version, as read together.
+struct View {
+    rollout: Rollout,
+    rollout_revision: u64,
+    draft: Option<Draft>,
+    draft_revision: u64,
+}
+
+/// What an action wants written.
+struct Change {
+    rollout: Rollout,
+    drafts: Vec<Draft>,
+    version: Version,
+}
+
+impl Operator {
+    /// An operator called `name`.
+    #[must_use]
+    pub fn new(platform: Platform, name: &str) -> Self {
+        let name = name.to_owned();
+        Self { platform, name }
+    }
+
+    /// Stores `bundle` as a draft and returns its version number.
+    ///
+    /// `base` is the version the draft was made from; the version in force where absent.
+    ///
+    /// # Errors
+    /// [`Error::Bundle`] if it is too large, [`Error::Conflict`] if `base` is not in force any
+    /// more, [`Error::Unavailable`] if the platform does not answer.
+    pub async fn push(&self, bundle: &Bundle, base: Option<Version>) -> Result<Version> {
+        let bytes = Bytes::from(bundle::encode(bundle)?);
+        let digest = Digest::of(&bytes);
+        self.store(&bytes, digest).await?;
+        self.act(|view| {
+            check_base(&view.rollout, base)?;
+            let draft = self.draft(&view.rollout, digest, bytes.len());
+            Ok(self.change(
+                &view.rollout,
+                Action::Push,
+                draft.release.version,
+                vec![draft],
+            ))
+        })
+        .await
+    }
+
+    /// Signs `version`; more signatures may be needed before nodes take it.
+    ///
+    /// # Errors
+    /// [`Error::State`] if the version is not a draft or signed.
+    pub async fn sign(&self, version: Version, signer: &Signer) -> Result<Version> {
+        self.act_on(version, |view, mut draft| {
+            expect_phase(&draft, &[Phase::Draft, Phase::Signed])?;
+            add_signature(&mut draft, signer);
+            draft.phase = Phase::Signed;
+            Ok(Change {
+                rollout: view.rollout.clone(),
+                drafts: vec![draft],
+                version,
+            })
+        })
+        .await
+    }
+
+    /// Signs `version` and starts to roll it.
+    ///
+    /// # Errors
+    /// [`Error::Conflict`] if another version is rolling or was accepted since this one was made;
+    /// the text says who won. [`Error::State`] if the version cannot be rolled.
+    pub async fn approve(&self, version: Version, signer: &Signer) -> Result<Version> {
+        self.act_on(version, |view, mut draft| {
+            expect_phase(&draft, &[Phase::Draft, Phase::Signed])?;
+            check_free(&view.rollout)?;
+            check_base(&view.rollout, Some(draft.base))?;
+            add_signature(&mut draft, signer);
+            Ok(self.start(&view.rollout, Action::Approve, draft, Vec::new()))
+        })
+        .await
+    }
+
+    /// Withdraws `version` before it is in force; no node keeps a trace of it.
+    ///
+    /// # Errors
+    /// [`Error::State`] if the version is not rolling, for example because it was accepted.
+    pub async fn stop(&self, version: Version) -> Result<Version> {
+        self.act_on(version, |view, mut draft| {
+            if draft.phase == Phase::Accepted {
+                let message = format!("version {version} is in force; supersede it instead");
+                return Err(Error::State(message));
+            }
+            expect_phase(&draft, &[Phase::Draft, Phase::Signed, Phase::Preparing])?;
+            let mut rollout = view.rollout.clone();
+            rollout
+                .candidate
+                .take_if(|candidate| candidate.release.version == version);
+            draft.phase = Phase::Stopped;
+            Ok(self.change(&rollout, Action::Stop, version, vec![draft]))
+        })
+        .await
+    }
+
+    /// Rolls the content of `bundle` as a new version above all others, in place of whatever is
+    /// rolling or in force.
+    ///
+    /// # Errors
+    /// As [`Operator::push`].
+    pub async fn supersede(&self, bundle: &Bundle, signer: &Signer) -> Result<Version> {
+        let bytes = Bytes::from(bundle::encode(bundle)?);
+        let digest = Digest::of(&bytes);
+        self.store(&bytes, digest).await?;
+        self.act(|view| {
+            let mut draft = self.draft(&view.rollout, digest, bytes.len());
+            add_signature(&mut draft, signer);
+            Ok(self.start(&view.rollout, Action::Supersede, draft, Vec::new()))
+        })
+        .await
+    }
+
+    /// Reads the content of `version` back.
+    ///
+    /// # Errors
+    /// [`Error::State`] if there is no such version.
+    pub async fn content(&self, version: Version) -> Result<Bundle> {
+        let draft = self.read_draft(version).await?;
+        let digest = draft.release.digest;
+        let packed = self.platform.objects.fetch(&object_name(digest)).await?;
+        let packed = packed.ok_or_else(|| Error::State(format!("no object for {digest}")))?;
+        bundle::decode(&decompress(&packed, None)?, digest)
+    }
+
+    /// Reads the row of `version`.
+    ///
+    /// # Errors
+    /// [`Error::State`] if there is no such version.
+    pub async fn read_draft(&self, version: Version) -> Result<Draft> {
+        let row = self.platform.table.get(&bundle_key(version)).await?;
+        let row = row.ok_or_else(|| Error::State(format!("there is no version {version}")))?;
+        row.parse()
+    }
+
+    /// Reads the rollout and the data centres' reports.
+    ///
+    /// # Errors
+    /// [`Error::Unavailable`] if the platform does not answer.
+    pub async fn status(&self) -> Result<Status> {
+        let (rollout, _) = read_rollout(&self.platform).await?;
+        let rows = self.platform.table.scan(REPORT_PREFIX).await?;
+        let reports = rows.iter().map(Row::parse).collect::<Result<_>>()?;
+        Ok(Status { rollout, reports })
+    }
+
+    /// Stores the bundle whole and, if a version is in force, as a delta against that one.
+    async fn store(&self, bytes: &Bytes, digest: Digest) -> Result<()> {
+        let objects = &self.platform.objects;
+        let whole = compress(bytes, None)?;
+        let name = object_name(digest);
+        retry(|| objects.store(&name, whole.clone())).await?;
+        let (rollout, _) = retry(|| read_rollout(&self.platform)).await?;
+        let Some(base) = rollout.active.map(|active| active.digest) else {
+            return Ok(());
+        };
+        let base_name = object_name(base);
+        let Some(packed) = retry(|| objects.fetch(&base_name)).await? else {
+            return Ok(());
+        };
+        let delta = compress(bytes, Some(&decompress(&packed, None)?))?;
+        let name = delta_name(base, digest);
+        retry(|| objects.store(&name, delta.clone())).await
+    }
+
+    fn draft(&self, rollout: &Rollout, digest: Digest, size: usize) -> Draft {
+        let release = Release {
+            version: rollout.highest.next(),
+            digest,
+            size,
+            signatures: Vec::new(),
+        };
+        Draft {
+            release,
+            phase: Phase::Draft,
+            base: rollout.active_version(),
+            pushed_by: self.name.clone(),
+            operations: Vec::new(),
+        }
+    }
+
+    fn change(
+        &self,
+        rollout: &Rollout,
+        action: Action,
+        version: Version,
+        drafts: Vec<Draft>,
+    ) -> Change {
+        let mut rollout = rollout.clone();
+        rollout.highest = rollout.highest.max(version);
+        rollout.last = Some(LastAction {
+            operator: self.name.clone(),
+            action,
+            version,
+        });
+        Change {
+            rollout,
+            drafts,
+            version,
+        }
+    }
+
+    fn start(
+        &self,
+        rollout: &Rollout,
+        action: Action,
+        mut draft: Draft,
+        mut drafts: Vec<Draft>,
+    ) -> Change {
+        let version = draft.release.version;
+        let mut rollout = rollout.clone();
+        rollout.candidate = Some(Candidate {
+            release: draft.release.clone(),
+            approved_by: self.name.clone(),
+        });
+        draft.phase = Phase::Preparing;
+        drafts.push(draft);
+        self.change(&rollout, action, version, drafts)
+    }
+
+    async fn act_on(
+        &self,
+        version: Version,
+        decide: impl Fn(&View, Draft) -> Result<Change>,
+    ) -> Result<Version> {
+        self.run(Some(version), |view| {
+            let draft = view.draft.clone();
+            let draft =
+                draft.ok_or_else(|| Error::State(format!("there is no version {version}")))?;
+            decide(view, draft)
+        })
+        .await
+    }
+
+    async fn act(&self, decide: impl Fn(&View) -> Result<Change>) -> Result<Version> {
+        self.run(None, decide).await
+    }
+
+    /// Reads, decides and writes conditionally. A write whose answer was lost, or that lost
+    /// against another one, is settled by looking for its operation id before it is decided anew.
+    async fn run(
+        &self,
+        version: Option<Version>,
+        decide: impl Fn(&View) -> Result<Change>,
+    ) -> Result<Version> {
+        let operation = rand::random();
+        let mut attempted = version;
+        for attempt in 0..MAX_TRIES {
+            let view = retry(|| self.view(attempted)).await?;
+            let done = view.draft.as_ref();
+            if attempt > 0 && done.is_some_and(|draft| draft.operations.contains(&operation)) {
+                return Ok(attempted.unwrap_or_default());
+            }
+            let change = decide(&view)?;
+            attempted = Some(change.version);
+            match self.write(&view, &change, operation).await {
+                Ok(()) => return Ok(change.version),
+                Err(Error::Conflict(_)) => {}
+                Err(Error::Unavailable(_)) => tokio::time::sleep(RETRY_PAUSE).await,
+                Err(error) => return Err(error),
+            }
+        }
+        Err(Error::Unavailable(
+            "the platform did not confirm the action; look at 'status' before trying again".into(),
+        ))
+    }
+
+    async fn write(&self, view: &View, change: &Change, operation: u64) -> Result<()> {
+        let mut transaction = Transaction::default()
+            .require(ROLLOUT_KEY, view.rollout_revision)
+            .put(ROLLOUT_KEY, &change.rollout);
+        for draft in &change.drafts {
+            let mut draft = draft.clone();
+            draft.operations.push(operation);
+            let key = bundle_key(draft.release.version);
+            let known = view.draft.as_ref().map(|d| d.release.version);
+            let same = known == Some(draft.release.version);
+            transaction = transaction
+                .require(&key, if same { view.draft_revision } else { 0 })
+                .put(&key, &draft);
+        }
+        if let Some(replaced) = replaced_candidate(&view.rollout, &change.rollout) {
+            transaction = self.retire(transaction, change, replaced).await?;
+        }
+        self.platform.table.transact(&transaction).await.map(|_| ())
+    }
+
+    /// Marks the candidate that another version replaces as superseded.
+    async fn retire(
+        &self,
+        transaction: Transaction,
+        change: &Change,
+        replaced: Version,
+    ) -> Result<Transaction> {
+        if change.drafts.iter().any(|d| d.release.version == replaced) {
+            return Ok(transaction);
+        }
+        let key = bundle_key(replaced);
+        let Some(row) = self.platform.table.get(&key).await? else {
+            return Ok(transaction);
+        };
+        let mut draft: Draft = row.parse()?;
+        draft.phase = Phase::Superseded;
+        Ok(transaction.require(&key, row.revision).put(&key, &draft))
+    }
+
+    async fn view(&self, version: Option<Version>) -> Result<View> {
+        let (rollout, rollout_revision) = read_rollout(&self.platform).await?;
+        let row = match version {
+            Some(version) => self.platform.table.get(&bundle_key(version)).await?,
+            None => None,
+        };
+        Ok(View {
+            rollout,
+            rollout_revision,
+            draft_revision: row.as_ref().map_or(0, |row| row.revision),
+            draft: row.map(|row| row.parse()).transpose()?,
+        })
+    }
+}
+
+/// Reads the rollout row and its revision, 0 where there is none yet.
+pub(crate) async fn read_rollout(platform: &Platform) -> Result<(Rollout, u64)> {
+    match platform.table.get(ROLLOUT_KEY).await? {
+        Some(row) => Ok((row.parse()?, row.revision)),
+        None => Ok((Rollout::default(), 0)),
+    }
+}
+
+fn replaced_candidate(before: &Rollout, after: &Rollout) -> Option<Version> {
+    let version = |rollout: &Rollout| rollout.candidate.as_ref().map(|c| c.release.version);
+    version(before).filter(|_| version(before) != version(after))
+}
+
+fn add_signature(draft: &mut Draft, signer: &Signer) {
+    let signatures = &mut draft.release.signatures;
+    signatures.retain(|signature| signature.operator != signer.operator());
+    signatures.push(signer.sign(draft.release.version, draft.release.digest));
+}
+
+fn expect_phase(draft: &Draft, expected: &[Phase]) -> Result<()> {
+    if expected.contains(&draft.phase) {
+        return Ok(());
+    }
+    let version = draft.release.version;
+    Err(Error::State(format!(
+        "version {version} is {}",
+        draft.phase
+    )))
+}
+
+fn check_base(rollout: &Rollout, base: Option<Version>) -> Result<()> {
+    let active = rollout.active_version();
+    match base {
+        Some(base) if base != active => Err(Error::Conflict(format!(
+            "made from version {base}, but version {active} is in force ({}); push again",
+            winner(rollout)
+        ))),
+        _ => Ok(()),
+    }
+}
+
+fn check_free(rollout: &Rollout) -> Result<()> {
+    match &rollout.candidate {
+        None => Ok(()),
+        Some(candidate) => Err(Error::Conflict(format!(
+            "version {} by {} is rolling; stop or supersede it",
+            candidate.release.version, candidate.approved_by
+        ))),
+    }
+}
+
+fn winner(rollout: &Rollout) -> String {
+    let last = rollout.last.as_ref();
+    last.map_or_else(|| "nobody acted yet".into(), ToString::to_string)
+}
+
+/// Repeats a read, or a write that is harmless to repeat, while the platform is unavailable.
+async fn retry<T, F: Future<Output = Result<T>>>(call: impl Fn() -> F) -> Result<T> {
+    let mut tries = 1;
+    loop {
+        match call().await {
+            Err(Error::Unavailable(_)) if tries < MAX_TRIES => tries += 1,
+            outcome => return outcome,
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,11 @@
+//! Stand-ins for the platform, targets and callers, used by the tests, the demo and the benches.
+
+mod caller;
+mod mesh;
+mod platform;
+mod target;
+
+pub use caller::{Answer, Caller};
+pub use mesh::{Layout, Mesh, Place, sample_bundle};
+pub use platform::{Fault, Memory, PlatformServer};
+pub use target::{Target, TargetOptions};
--- /dev/null
+++ b/src/standin/platform.rs
@@ -0,0 +1,276 @@
+//! An in-memory platform with faults, and its HTTP server.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+
+use crate::error::{Error, Result};
+use crate::http::{Body, Handler, Server, empty, full, json, read_whole};
+use crate::platform::{Objects, Platform, Row, Rows, Table, Transaction};
+
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// How the platform misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// Answers at once.
+    #[default]
+    None,
+    /// Refuses every call.
+    Down,
+    /// Answers late.
+    Slow(Duration),
+    /// Applies writes, then loses the answer.
+    LoseAnswers,
+}
+
+#[derive(Default)]
+struct Store {
+    rows: BTreeMap<String, Row>,
+    objects: HashMap<String, Bytes>,
+    revision: u64,
+    fault: Fault,
+}
+
+/// The platform's table and objects in memory.
+#[derive(Default)]
+pub struct Memory {
+    store: Mutex<Store>,
+    reads: AtomicU64,
+    writes: AtomicU64,
+}
+
+impl Memory {
+    /// An empty platform.
+    #[must_use]
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self::default())
+    }
+
+    /// The ports of this platform.
+    #[must_use]
+    pub fn platform(self: &Arc<Self>) -> Platform {
+        Platform {
+            table: self.clone(),
+            objects: self.clone(),
+        }
+    }
+
+    /// Makes every later call misbehave.
+    pub fn inject(&self, fault: Fault) {
+        self.lock().fault = fault;
+    }
+
+    /// Number of reads so far, of rows, scans and objects.
+    pub fn reads(&self) -> u64 {
+        self.reads.load(Ordering::Relaxed)
+    }
+
+    /// Number of transactions and stored objects so far.
+    pub fn writes(&self) -> u64 {
+        self.writes.load(Ordering::Relaxed)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Store> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn begin(&self) -> Result<()> {
+        let fault = self.lock().fault;
+        match fault {
+            Fault::Down => Err(Error::Unavailable("the platform is down".into())),
+            Fault::Slow(delay) => {
+                tokio::time::sleep(delay).await;
+                Ok(())
+            }
+            Fault::None | Fault::LoseAnswers => Ok(()),
+        }
+    }
+
+    fn finish(&self) -> Result<()> {
+        match self.lock().fault {
+            Fault::LoseAnswers => Err(Error::Unavailable("the answer was lost".into())),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl Store {
+    fn apply(&mut self, transaction: &Transaction) -> Result<u64> {
+        for condition in &transaction.conditions {
+            let found = self.rows.get(&condition.key).map_or(0, |row| row.revision);
+            if found != condition.revision {
+                let message = format!("row {} has revision {found}", condition.key);
+                return Err(Error::Conflict(message));
+            }
+        }
+        self.revision += 1;
+        for write in &transaction.writes {
+            let key = write.key.clone();
+            match &write.value {
+                Some(value) => {
+                    let row = Row {
+                        key: key.clone(),
+                        value: value.clone(),
+                        revision: self.revision,
+                    };
+                    self.rows.insert(key, row);
+                }
+                None => {
+                    self.rows.remove(&key);
+                }
+            }
+        }
+        Ok(self.revision)
+    }
+}
+
+#[async_trait]
+impl Table for Memory {
+    async fn get(&self, key: &str) -> Result<Option<Row>> {
+        self.begin().await?;
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        Ok(self.lock().rows.get(key).cloned())
+    }
+
+    async fn scan(&self, prefix: &str) -> Result<Vec<Row>> {
+        self.begin().await?;
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        let store = self.lock();
+        let rows = store.rows.range(prefix.to_owned()..);
+        let found = rows.take_while(|(key, _)| key.starts_with(prefix));
+        Ok(found.map(|(_, row)| row.clone()).collect())
+    }
+
+    async fn transact(&self, transaction: &Transaction) -> Result<u64> {
+        self.begin().await?;
+        self.writes.fetch_add(1, Ordering::Relaxed);
+        let revision = self.lock().apply(transaction)?;
+        self.finish()?;
+        Ok(revision)
+    }
+}
+
+#[async_trait]
+impl Objects for Memory {
+    async fn fetch(&self, name: &str) -> Result<Option<Bytes>> {
+        self.begin().await?;
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        Ok(self.lock().objects.get(name).cloned())
+    }
+
+    async fn store(&self, name: &str, bytes: Bytes) -> Result<()> {
+        self.begin().await?;
+        self.writes.fetch_add(1, Ordering::Relaxed);
+        self.lock().objects.insert(name.to_owned(), bytes);
+        self.finish()
+    }
+}
+
+/// Serves a [`Memory`] over the platform's HTTP protocol.
+///
+/// `PUT /fault` with `none`, `down`, `slow N` (milliseconds) or `lose-answers` injects a fault.
+pub struct PlatformServer {
+    server: Server,
+}
+
+impl PlatformServer {
+    /// Listens at `address`.
+    ///
+    /// # Errors
+    /// Fails if the address cannot be bound.
+    pub fn start(address: SocketAddr, memory: Arc<Memory>) -> Result<Self> {
+        let server = Server::start(address, Arc::new(Endpoint { memory }))?;
+        Ok(Self { server })
+    }
+
+    /// Address that the server is bound to.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+}
+
+struct Endpoint {
+    memory: Arc<Memory>,
+}
+
+#[async_trait]
+impl Handler for Endpoint {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        match self.answer(request).await {
+            Ok(response) => response,
+            Err(Error::Conflict(message)) => json(StatusCode::CONFLICT, &message),
+            Err(error) => json(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
+        }
+    }
+}
+
+impl Endpoint {
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>> {
+        let (head, body) = request.into_parts();
+        let bytes = read_whole(body, MAX_BODY_BYTES)
+            .await
+            .map_err(Error::Unavailable)?;
+        let query = head.uri.query().unwrap_or_default();
+        let path = head.uri.path();
+        let memory = &self.memory;
+        match (&head.method, path.strip_prefix("/objects/")) {
+            (&Method::GET, Some(name)) => Ok(found(memory.fetch(name).await?.map(full))),
+            (&Method::PUT, Some(name)) => {
+                memory.store(name, bytes).await?;
+                Ok(Response::new(empty()))
+            }
+            (&Method::GET, None) if path == "/table/row" => {
+                let row = memory.get(query).await?;
+                Ok(found(row.map(|row| {
+                    full(serde_json::to_vec(&row).unwrap_or_default())
+                })))
+            }
+            (&Method::GET, None) if path == "/table/scan" => {
+                let rows = memory.scan(query).await?;
+                Ok(json(StatusCode::OK, &Rows { rows }))
+            }
+            (&Method::POST, None) if path == "/table/transact" => {
+                let transaction = serde_json::from_slice(&bytes)
+                    .map_err(|error| Error::Unavailable(error.to_string()))?;
+                let revision = memory.transact(&transaction).await?;
+                Ok(json(StatusCode::OK, &revision))
+            }
+            (&Method::PUT, None) if path == "/fault" => {
+                memory.inject(parse_fault(&String::from_utf8_lossy(&bytes)));
+                Ok(Response::new(empty()))
+            }
+            _ => Ok(found(None)),
+        }
+    }
+}
+
+fn found(body: Option<Body>) -> Response<Body> {
+    let status = if body.is_some() {
+        StatusCode::OK
+    } else {
+        StatusCode::NOT_FOUND
+    };
+    let mut response = Response::new(body.unwrap_or_else(empty));
+    *response.status_mut() = status;
+    response
+}
+
+fn parse_fault(text: &str) -> Fault {
+    match text.trim().split_once(' ') {
+        Some(("slow", delay)) => Fault::Slow(Duration::from_millis(delay.parse().unwrap_or(0))),
+        _ => match text.trim() {
+            "down" => Fault::Down,
+            "lose-answers" => Fault::LoseAnswers,
+            _ => Fault::None,
+        },
+    }
+}
--- /dev/null
+++ b/tests/whole_path.rs
@@ -0,0 +1,23 @@
+//! The whole path inside one process: push, approve, converge, call.
+
+use std::time::Duration;
+
+use bluebellgap::standin::{Layout, Mesh, sample_bundle};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_signed_bundle_is_in_force_and_serves_calls() {
+    let _ = env_logger::builder().is_test(true).try_init();
+    let mesh = Mesh::start(&Layout::new(2, 1, 3)).unwrap();
+    mesh.acquainted(Duration::from_secs(10)).await.unwrap();
+    let version = mesh.roll(&sample_bundle(1)).await.unwrap();
+    mesh.converged(version, Duration::from_secs(8))
+        .await
+        .unwrap();
+    let answer = mesh.caller(0).get("/read/units").await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let answer = mesh.caller(1).post("/book", "k1", "unit 7").await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let again = mesh.caller(2).post("/book", "k1", "unit 7").await;
+    assert!(again.replayed, "{again:?}");
+    assert_eq!(again.body, answer.body);
+}
