Repair what exchanges miss between data centres; follow lease rows; standbys watch at once

Cause: registrars started before their directories were full never heard of other data centres' members (48 nodes: four of six rosters stayed incomplete for 30 s); standbys were appointed only at refreshes, so the first death of a registrar took 9.1 s to heal; the row of a data centre that is gone would have kept the driver's role for ever. Change: registrars pull from each other; standbys decide locally and look every quarter term; lease rows that are not renewed for two terms leave the directory. Open: at 150 nodes some deliveries time out (max 2.5 s).

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -18,7 +18,7 @@
 const SHORT_START: Duration = Duration::from_millis(1);
 const LONG_START: Duration = Duration::from_millis(50);
 /// Share of the remaining time that a request may be expected to wait in the queue.
-const WAIT_SHARE: f64 = 0.5;
+const WAIT_SHARE: f64 = 0.25;
 
 /// A request that asks for a slot.
 #[derive(Clone, Debug)]
--- a/src/bin/bluebellgap/main.rs
+++ b/src/bin/bluebellgap/main.rs
@@ -12,11 +12,11 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let command = match cli::parse() {
         Ok(command) => command,
         Err(code) => return code,
     };
+    start_logging(&command);
     match app::run(command) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
@@ -25,3 +25,10 @@
         }
     }
 }
+
+/// Nodes log changes of state; other commands only what went wrong. `RUST_LOG` overrides both.
+fn start_logging(command: &cli::Command) {
+    let node = matches!(command, cli::Command::Node { .. });
+    let level = if node { "info" } else { "error" };
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(level)).init();
+}
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -115,14 +115,13 @@
 }
 
 impl Endpoint {
-    fn welcome(&self, accepted: bool, standby: bool) -> Welcome {
+    fn welcome(&self, accepted: bool) -> Welcome {
         Welcome {
             registrar: self.core.lease.holding(),
             accepted,
             head: self.core.agent.head(),
             positions: self.core.with_view(crate::roster::View::positions),
             peers: self.core.some_peers(PEERS_PER_WELCOME),
-            standby,
         }
     }
 }
@@ -133,14 +132,13 @@
         self.core.counters.count("announcements");
         let accepted = self.core.lease.holding().is_some()
             && member.data_center == self.core.settings.data_center;
-        let standby = accepted && super::lead::is_standby(&self.core, &member.node);
         let queued = accepted
             && self
                 .core
                 .tasks
                 .try_send(Task::Announce(Box::new(member)))
                 .is_ok();
-        Ok(self.welcome(queued, standby))
+        Ok(self.welcome(queued))
     }
 
     async fn deliver(&self, delivery: Delivery) -> RpcResult<Tally> {
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -56,7 +56,6 @@
     /// To the registrar's task.
     pub tasks: mpsc::Sender<Task>,
     pub(super) inbox: Mutex<Option<mpsc::Receiver<Task>>>,
-    pub(super) standby: std::sync::atomic::AtomicBool,
     member: Mutex<Member>,
     view: Mutex<View>,
     roster: ArcSwap<Roster>,
@@ -114,7 +113,6 @@
             announce: Notify::new(),
             tasks,
             inbox: Mutex::new(Some(inbox)),
-            standby: false.into(),
             member: Mutex::new(member),
             view: Mutex::new(View::default()),
             roster: ArcSwap::default(),
--- a/src/node/delivery.rs
+++ b/src/node/delivery.rs
@@ -9,7 +9,7 @@
 use crate::node::core::Core;
 use crate::rollout::{Span, Tally, position};
 use crate::roster::Member;
-use crate::wire::{ControlClient as _, Delivery, Pull};
+use crate::wire::{ControlClient as _, Delivery, News, Peer, Pull};
 
 const MAX_TRIES_PER_SPAN: usize = 4;
 const SETTLE_SHARE: f64 = 0.5;
@@ -21,9 +21,8 @@
     core.counters.count("deliveries");
     take(core, &delivery);
     let budget = Duration::from_millis(delivery.budget_ms);
-    let source = delivery.source;
     let (own, below) = tokio::join!(
-        settle(core, source, budget.mul_f64(SETTLE_SHARE)),
+        settle(core, delivery.sender.mesh, budget.mul_f64(SETTLE_SHARE)),
         forward(core, &delivery, budget.mul_f64(CHILD_SHARE)),
     );
     let mut tally = own;
@@ -43,8 +42,8 @@
     });
     if gap || behind {
         let core = core.clone();
-        let registrar = delivery.registrar.control;
-        tokio::spawn(async move { pull(&core, registrar).await });
+        let sender = delivery.sender.control;
+        tokio::spawn(async move { pull(&core, sender).await });
     }
 }
 
@@ -76,7 +75,7 @@
         let candidates: Vec<Arc<Member>> = inside.map(|(_, member)| member.clone()).collect();
         let part = Delivery {
             span,
-            source: core.member().mesh,
+            sender: Peer::from(&core.member()),
             ..delivery.clone()
         };
         children.spawn(hand_over(core.clone(), candidates, part, budget));
@@ -151,6 +150,16 @@
 
 /// Asks a peer for whatever this node lacks.
 pub(crate) async fn pull(core: &Arc<Core>, peer: SocketAddr) -> bool {
+    let Some(news) = ask(core, peer).await else {
+        return false;
+    };
+    core.apply(&news.updates);
+    true
+}
+
+/// Asks a peer for whatever this node lacks; a newer head is learned at once, the roster updates
+/// are the caller's to apply.
+pub(crate) async fn ask(core: &Arc<Core>, peer: SocketAddr) -> Option<News> {
     let question = Pull {
         revision: core.agent.head().revision,
         positions: core.with_view(crate::roster::View::positions),
@@ -162,12 +171,11 @@
             if let Some(head) = &news.head {
                 core.agent.learn(head);
             }
-            core.apply(&news.updates);
-            true
+            Some(news)
         }
         Err(error) => {
             log::debug!("pull: {error}");
-            false
+            None
         }
     }
 }
@@ -178,7 +186,7 @@
         registrar,
         seed: rand::random(),
         span: Span::ALL,
-        source: core.member().mesh,
+        sender: Peer::from(&core.member()),
         head: core.agent.head(),
         updates: Vec::new(),
         positions: core.with_view(crate::roster::View::positions),
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -1,14 +1,16 @@
 //! The registrar's work, done by the node that holds its data centre's lease: follow the rollout
 //! row, number roster changes, send the heartbeat, report to the platform, drive rolls.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use jsonrpsee_http_client::HttpClient;
+use rand::seq::IndexedRandom as _;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
-use crate::error::{Error, Result};
+use crate::error::Error;
 use crate::node::core::{Core, Task};
 use crate::node::delivery;
 use crate::node::membership::{self, CALL_TIMEOUT};
@@ -22,24 +24,29 @@
 const DIRECTORY_PERIOD: Duration = Duration::from_secs(2);
 const UNSETTLED_BEAT: Duration = Duration::from_millis(200);
 const DELIVERY_BUDGET: Duration = Duration::from_secs(3);
+/// For how long after a new head members that did not answer are told again quickly.
+const REPEAT_TERM: Duration = Duration::from_secs(2);
+const TERMS_UNTIL_GONE: u32 = 2;
 const STANDBYS: usize = 2;
 const REFRESHES_UNTIL_STALE: u32 = 3;
 const STANDBY_SEED: u64 = 1;
 
-/// Whether `node` should watch the lease: the first few members of the data centre on a ring.
-pub(super) fn is_standby(core: &Core, node: &str) -> bool {
+/// Whether this node should watch the lease: it is one of the first few members of the data
+/// centre on a ring, the registrar left out.
+pub(super) fn is_standby(core: &Core) -> bool {
     let roster = core.roster();
+    let registrar = core.registrar().map(|known| known.holder.node);
     let mut nodes: Vec<(u64, &str)> = roster
         .center(&core.settings.data_center)
         .iter()
-        .filter(|member| member.node != core.settings.node)
+        .filter(|member| Some(&member.node) != registrar.as_ref())
         .map(|member| (position(STANDBY_SEED, &member.node), member.node.as_str()))
         .collect();
     nodes.sort_unstable();
     nodes
         .iter()
         .take(STANDBYS)
-        .any(|(_, standby)| *standby == node)
+        .any(|(_, standby)| *standby == core.settings.node)
 }
 
 /// Acts as registrar whenever this node holds the lease, until the node stops.
@@ -147,17 +154,54 @@
     }
 }
 
-/// Keeps the list of all data centres' registrars.
+/// Keeps the list of all data centres' registrars. A row that is not renewed for long belongs to
+/// a data centre that is gone, and is left out.
 async fn list_registrars(core: Arc<Core>) {
+    let limit = core.settings.timing.lease_term * TERMS_UNTIL_GONE;
+    let mut renewed: HashMap<String, (u64, Instant)> = HashMap::new();
     loop {
         if let Ok(rows) = core.platform.table.scan(LEASE_PREFIX).await {
-            let holders = rows.iter().map(Row::parse).collect::<Result<Vec<Holder>>>();
-            core.set_directory(holders.unwrap_or_default());
+            let mut holders = Vec::new();
+            for row in &rows {
+                let seen = renewed.entry(row.key.clone());
+                let seen = seen.or_insert((row.revision, Instant::now()));
+                if seen.0 != row.revision {
+                    *seen = (row.revision, Instant::now());
+                }
+                if seen.1.elapsed() < limit {
+                    holders.extend(row.parse::<Holder>());
+                }
+            }
+            core.set_directory(holders);
         }
         tokio::time::sleep(DIRECTORY_PERIOD).await;
     }
 }
 
+/// Pulls from other registrars what their exchanges did not bring: every registrar from one in its
+/// region, the first of each region also from one in another region.
+async fn pull_from_registrars(core: Arc<Core>, holder: Holder) {
+    loop {
+        tokio::time::sleep(core.settings.timing.pull).await;
+        let directory = core.directory();
+        let first = directory.iter().find(|other| other.region == holder.region);
+        let leads = first.is_some_and(|first| first.node == holder.node);
+        let (near, far): (Vec<&Holder>, Vec<&Holder>) = directory
+            .iter()
+            .filter(|other| other.data_center != holder.data_center)
+            .partition(|other| other.region == holder.region);
+        for group in [Some(near), leads.then_some(far)].into_iter().flatten() {
+            let Some(peer) = group.choose(&mut rand::rng()) else {
+                continue;
+            };
+            if let Some(news) = delivery::ask(&core, peer.control).await {
+                let task = Task::Exchange(news.updates, leads);
+                let _ = core.tasks.try_send(task);
+            }
+        }
+    }
+}
+
 /// Drives rolls while this registrar is the first in the directory.
 async fn drive(core: Arc<Core>, holder: Holder) {
     let mut driver = Driver::new(core.platform.clone(), core.settings.timing.prepare_bound);
@@ -185,6 +229,8 @@
     listed: Option<Instant>,
     beaten: Option<Instant>,
     delivered_revision: u64,
+    /// When the members were first told of the newest head.
+    told: Option<Instant>,
     settled: bool,
     reports: watch::Sender<Report>,
     tallies: mpsc::Sender<(u64, Tally)>,
@@ -202,6 +248,7 @@
         let mut helpers = JoinSet::new();
         helpers.spawn(follow_rollout(core.clone(), holder.clone()));
         helpers.spawn(list_registrars(core.clone()));
+        helpers.spawn(pull_from_registrars(core.clone(), holder.clone()));
         helpers.spawn(drive(core.clone(), holder.clone()));
         helpers.spawn(write_reports(core.clone(), latest));
         Self {
@@ -212,6 +259,7 @@
             listed: None,
             beaten: None,
             delivered_revision: 0,
+            told: None,
             settled: false,
             reports,
             tallies,
@@ -365,6 +413,9 @@
             return;
         }
         self.beaten = Some(Instant::now());
+        if revision > self.delivered_revision {
+            self.told = self.beaten;
+        }
         self.delivered_revision = revision;
         self.settled = !news && self.settled;
         let mut message = delivery::whole(self.core, self.holder.clone());
@@ -391,7 +442,9 @@
             .map(|release| release.version);
         let pending =
             awaited.map(|version| tally.heard() - tally.ready_for(version).min(tally.heard()));
-        self.settled = revision == head.revision && pending.sum::<usize>() == 0;
+        let fresh = self.told.is_some_and(|told| told.elapsed() < REPEAT_TERM);
+        let unheard = fresh && tally.unheard > 0;
+        self.settled = revision == head.revision && pending.sum::<usize>() == 0 && !unheard;
         let report = Report {
             data_center: self.holder.data_center.clone(),
             revision,
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -3,14 +3,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use jsonrpsee_http_client::HttpClient;
 use tokio::sync::watch;
 
 use crate::node::core::Core;
-use crate::node::delivery;
+use crate::node::{delivery, lead};
 use crate::platform::Holder;
 use crate::rollout::position;
 use crate::roster::Member;
@@ -30,19 +29,20 @@
 /// Keeps this node announced to its registrar; contends for the lease where there is none.
 pub(super) async fn run(core: Arc<Core>, mut stopped: watch::Receiver<()>) {
     loop {
+        let timing = core.settings.timing;
         let pause = match announce(&core).await {
             Some(welcome) if welcome.accepted => {
                 take_welcome(&core, &welcome).await;
-                until_refresh(&core)
+                jitter(timing.refresh)
             }
             _ => {
                 start_from_seeds(&core).await;
                 jitter(RETRY_PAUSE)
             }
         };
-        let silence = core.settings.timing.beat * BEATS_UNTIL_SILENCE;
+        let silence = timing.beat * BEATS_UNTIL_SILENCE;
         tokio::select! {
-            () = tokio::time::sleep(pause) => {}
+            () = until_refresh(&core, pause) => {}
             () = core.announce.notified() => spread(&core).await,
             () = until_silent(&core, silence) => {}
             _ = stopped.changed() => return,
@@ -73,12 +73,17 @@
     }
 }
 
-fn until_refresh(core: &Core) -> Duration {
-    let timing = core.settings.timing;
-    if core.standby.load(Ordering::Relaxed) {
-        return timing.lease_term / 4;
+/// Waits for `pause`, or until the lease is to be looked at if this node is a standby.
+async fn until_refresh(core: &Core, pause: Duration) {
+    let standby_period = core.settings.timing.lease_term / 4;
+    let due = Instant::now() + pause;
+    while Instant::now() < due {
+        let left = due.saturating_duration_since(Instant::now());
+        tokio::time::sleep(left.min(standby_period)).await;
+        if lead::is_standby(core) {
+            return;
+        }
     }
-    jitter(timing.refresh)
 }
 
 fn jitter(period: Duration) -> Duration {
@@ -91,7 +96,7 @@
     let known = core
         .registrar()
         .filter(|known| known.heard.elapsed() < silence);
-    let standby = core.standby.load(Ordering::Relaxed);
+    let standby = lead::is_standby(core);
     let holder = match known {
         Some(known) if !standby => Some(known.holder),
         _ => find_registrar(core).await,
@@ -124,7 +129,6 @@
     if let Some(holder) = &welcome.registrar {
         core.heard_registrar(holder);
     }
-    core.standby.store(welcome.standby, Ordering::Relaxed);
     core.agent.learn(&welcome.head);
     let behind = core.with_view(|view| {
         let mut theirs = welcome.positions.iter();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -25,8 +25,6 @@
     pub positions: BTreeMap<String, Position>,
     /// Members to pull the roster and bundles from.
     pub peers: Vec<Peer>,
-    /// Whether this member should watch the registrar's lease.
-    pub standby: bool,
 }
 
 /// Addresses of a member.
@@ -65,8 +63,8 @@
     pub seed: u64,
     /// Part of the tree that the recipient serves.
     pub span: Span,
-    /// Mesh listener of the sender, which has or gets the bundles.
-    pub source: SocketAddr,
+    /// The sender, which has or gets the bundles.
+    pub sender: Peer,
     /// Newest head.
     pub head: Head,
     /// Roster updates.
