Deliver each message once down the tree; break waits for bundles in a circle

Cause: a child's span began at its parent's span, so it held the sender itself; with three levels (25 nodes in a data centre) deliveries went round until their time was up. Second: a node that learned of a version by a pull asked its own tree child for the bytes, which waited for it. Ruled out: processor time (a third of one core), file descriptors. Change: each part begins at its first member; a peer waits 100 ms for a bundle on its way, askers go round their sources.

--- a/src/rollout/agent.rs
+++ b/src/rollout/agent.rs
@@ -67,7 +67,8 @@
 }
 
 const KEPT_PREPARED: usize = 4;
-const ATTEMPT_PAUSE: Duration = Duration::from_millis(50);
+const PEER_ROUNDS: u32 = 4;
+const ROUND_PAUSE: Duration = Duration::from_millis(50);
 
 impl Agent {
     pub(crate) fn new(node: &str, trust: Trust, shelf: Arc<Shelf>, fetcher: Fetcher) -> Self {
@@ -233,12 +234,14 @@
         {
             return Some(bytes);
         }
-        for peer in &sources.peers {
-            match self.fetcher.read_peer(*peer, digest, base).await {
-                Ok(bytes) => return Some(bytes),
-                Err(error) => log::debug!("fetch of {digest:?} from {peer}: {error}"),
+        for _ in 0..PEER_ROUNDS {
+            for peer in &sources.peers {
+                match self.fetcher.read_peer(*peer, digest, base).await {
+                    Ok(bytes) => return Some(bytes),
+                    Err(error) => log::debug!("fetch of {digest:?} from {peer}: {error}"),
+                }
             }
-            tokio::time::sleep(ATTEMPT_PAUSE).await;
+            tokio::time::sleep(ROUND_PAUSE).await;
         }
         None
     }
--- a/src/rollout/fetch.rs
+++ b/src/rollout/fetch.rs
@@ -22,7 +22,8 @@
 /// Path prefix on the mesh listener under which nodes serve bundles.
 pub(crate) const BUNDLE_PATH: &str = "/.bluebellgap/bundle/";
 const BASE_HEADER: &str = "x-bluebellgap-base";
-const SERVE_WAIT: Duration = Duration::from_secs(2);
+/// Short, because two nodes that each expect the bundle from the other would wait for each other.
+const SERVE_WAIT: Duration = Duration::from_millis(100);
 const PEER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Brings bundles onto this node's shelf.
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -10,6 +10,9 @@
 mod tally;
 mod tree;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use agent::{Agent, InForce, Sources};
 pub(crate) use driver::{Driver, report_key};
 pub(crate) use fetch::{BUNDLE_PATH, Fetcher, serve_bundle};
--- a/src/rollout/tree.rs
+++ b/src/rollout/tree.rs
@@ -35,23 +35,19 @@
     }
 
     /// Splits the span at the given member positions (sorted) into at most [`FAN_OUT`] parts of
-    /// about equal numbers of members. The parts cover the whole span.
+    /// about equal numbers of members. Each part begins at its first member, so that the sender,
+    /// which comes before all of them, is in none.
     pub(crate) fn split(self, positions: &[u64]) -> Vec<Self> {
-        if positions.is_empty() {
-            return Vec::new();
-        }
-        let size = positions.len().div_ceil(FAN_OUT);
+        let size = positions.len().div_ceil(FAN_OUT).max(1);
         let starts: Vec<u64> = positions.chunks(size).map(|chunk| chunk[0]).collect();
-        let mut parts = Vec::with_capacity(starts.len());
-        for (index, _) in starts.iter().enumerate() {
-            let first = if index == 0 {
-                self.first
-            } else {
-                starts[index]
-            };
-            let last = starts.get(index + 1).map_or(self.last, |next| next - 1);
-            parts.push(Self { first, last });
-        }
+        let ends = starts.iter().skip(1).map(|next| next - 1);
+        let ends = ends.chain([self.last]);
+        let parts = starts.iter().zip(ends);
         parts
+            .map(|(first, last)| Self {
+                first: *first,
+                last,
+            })
+            .collect()
     }
 }
