Choose targets by latency and load per kind of class, with the load that target nodes report

Cause: one latency estimate per target mixed classes, so one long answer made a target look slow to short calls; cost hardly weighed load, so all nodes followed the same latency noise. Ruled out: processor time; hedging (97 ms was its delay plus a run, an effect and not the cause). Change: estimates and in-flight counts per kind; every answer carries its node's true load; cost is latency times fill squared. Open: 0.2% of calls fail at 0% long and 70% load.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -12,6 +12,7 @@
 use crate::admission::queue::{Queue, Waiting};
 use crate::bundle::ClassKind;
 use crate::http::Release;
+use crate::route::Load;
 use crate::verdict::{Reason, Refusal};
 
 const SERVICE_TIME_WEIGHT: f64 = 0.1;
@@ -133,9 +134,11 @@
         self.lock().running.values().sum()
     }
 
-    /// Number of requests that wait.
-    pub(crate) fn waiting(&self) -> usize {
-        self.lock().queue.len()
+    /// Requests that hold a slot or wait for one.
+    pub(crate) fn load(&self) -> Load {
+        let state = self.lock();
+        let at = |kind| state.running.get(&kind).copied().unwrap_or(0) + state.queue.count(kind);
+        Load([at(ClassKind::Short), at(ClassKind::Long)])
     }
 
     fn has_slot(&self, state: &State, ticket: &Ticket) -> bool {
--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -48,6 +48,11 @@
         self.waiting.is_empty()
     }
 
+    pub(super) fn count(&self, kind: ClassKind) -> u32 {
+        let waiting = self.waiting.iter().filter(|w| w.ticket.kind == kind);
+        u32::try_from(waiting.count()).unwrap_or(u32::MAX)
+    }
+
     pub(super) fn len(&self) -> usize {
         self.waiting.len()
     }
--- a/src/bundle/model.rs
+++ b/src/bundle/model.rs
@@ -42,6 +42,20 @@
     Long,
 }
 
+impl ClassKind {
+    /// Number of kinds.
+    pub const COUNT: usize = 2;
+
+    /// Place of the kind in tables of [`ClassKind::COUNT`] entries.
+    #[must_use]
+    pub const fn index(self) -> usize {
+        match self {
+            Self::Short => 0,
+            Self::Long => 1,
+        }
+    }
+}
+
 /// A class of requests with similar run times.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -10,7 +10,6 @@
 
 use crate::http::{Body, Handler, full, json};
 use crate::node::core::Core;
-use crate::proxy::Load;
 use crate::rollout::Tally;
 use crate::roster::Member;
 use crate::telemetry::Quantiles;
@@ -24,7 +23,8 @@
     holds_lease: bool,
     members_by_data_center: BTreeMap<String, usize>,
     own: Tally,
-    load: Option<Load>,
+    short_load: Option<u32>,
+    long_load: Option<u32>,
     counters: BTreeMap<String, u64>,
     latency: BTreeMap<String, Quantiles>,
     control_bytes_by_region: BTreeMap<String, u64>,
@@ -70,7 +70,8 @@
             holds_lease: core.lease.holding().is_some(),
             members_by_data_center: centers.into_iter().map(|(n, m)| (n, m.len())).collect(),
             own: super::delivery::own_tally(core),
-            load: core.proxy.load(),
+            short_load: core.proxy.load().map(|load| load.0[0]),
+            long_load: core.proxy.load().map(|load| load.0[1]),
             counters: core.counters.snapshot(),
             latency: core.histograms.snapshot(),
             control_bytes_by_region: core.traffic.snapshot(),
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -40,7 +40,11 @@
         if number > 1 {
             sleep(full_jitter(number).min(call.left())).await;
         }
-        let Some(endpoint) = core.proxy.balancer.choose(&call.route.group, &tried) else {
+        let Some(endpoint) = core
+            .proxy
+            .balancer
+            .choose(&call.route.group, call.route.kind, &tried)
+        else {
             break;
         };
         tried.push(endpoint.member.node.clone());
@@ -85,7 +89,7 @@
     endpoint: Arc<Endpoint>,
     tried: &mut Vec<String>,
 ) -> Answer {
-    let typical = Duration::from_secs_f64(endpoint.latency());
+    let typical = Duration::from_secs_f64(endpoint.latency(call.route.kind));
     let delay = typical.mul_f64(HEDGE_LATENCY_MULTIPLE).max(HEDGE_FLOOR);
     let first = attempt(core, call, endpoint.clone());
     tokio::pin!(first);
@@ -94,7 +98,7 @@
     }
     tokio::select! {
         answer = &mut first => return answer,
-        () = sleep(delay) => endpoint.note_unanswered(delay),
+        () = sleep(delay) => endpoint.note_unanswered(call.route.kind, delay),
     }
     let Some(second) = hedge_endpoint(core, call, &endpoint, tried) else {
         return first.await;
@@ -120,7 +124,10 @@
     first: &Endpoint,
     tried: &mut Vec<String>,
 ) -> Option<Arc<Endpoint>> {
-    let second = core.proxy.balancer.choose(&call.route.group, tried)?;
+    let second = core
+        .proxy
+        .balancer
+        .choose(&call.route.group, call.route.kind, tried)?;
     let crosses = second.member.region != first.member.region;
     if crosses || second.refusing() || !core.proxy.budget.withdraw() {
         return None;
@@ -136,11 +143,11 @@
     if endpoint.member.region != core.settings.region {
         core.counters.count("calls_across_regions");
     }
-    let in_flight = endpoint.begin();
+    let in_flight = endpoint.begin(call.route.kind);
     let pool = endpoint.pool.clone();
     let answer = pool.send(request);
     tokio::pin!(answer);
-    let typical = Duration::from_secs_f64(endpoint.latency());
+    let typical = Duration::from_secs_f64(endpoint.latency(call.route.kind));
     let mut patience = typical.mul_f64(INQUIRY_LATENCY_MULTIPLE).max(INQUIRY_FLOOR);
     let deadline = Instant::from_std(call.deadline);
     loop {
@@ -152,7 +159,7 @@
             }
             () = sleep(patience) => {}
         }
-        endpoint.note_unanswered(in_flight.elapsed());
+        endpoint.note_unanswered(call.route.kind, in_flight.elapsed());
         core.counters.count("inquiries");
         let phase = inquire(&endpoint, id).await;
         let lost = match phase {
@@ -218,6 +225,9 @@
 ) -> Answer {
     match answer {
         Ok(response) => {
+            if let Some(load) = headers::read_load(response.headers()) {
+                endpoint.note_load(load);
+            }
             let refusal = headers::read_refusal(response.status(), response.headers());
             if let Some(refusal) = refusal {
                 note_crash(core, call, endpoint, response.headers());
@@ -232,6 +242,7 @@
             core.proxy.throttle(&call.route.service).accepted();
             let mut response = response.map(http_body_util::BodyExt::boxed);
             headers::strip_hop_by_hop(response.headers_mut());
+            headers::strip_own(response.headers_mut());
             Ok(response)
         }
         Err(SendError::Unsent(error)) => {
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -7,6 +7,7 @@
 
 use crate::bundle::ClassKind;
 use crate::http::{Body, full};
+use crate::route::Load;
 use crate::verdict::{HEADER as VERDICT, Reason, Refusal, Verdict};
 
 /// Prefix of the headers that belong to the system; targets cannot set them.
@@ -24,6 +25,7 @@
 /// Number of the crash that lost a request.
 pub(super) const CRASH: &str = "x-bluebellgap-crash";
 
+const LOAD: &str = "x-bluebellgap-load";
 const REQUEST_ID: &str = "x-bluebellgap-request";
 const VERSION: &str = "x-bluebellgap-version";
 const GROUP: &str = "x-bluebellgap-group";
@@ -132,6 +134,18 @@
     headers.insert(HeaderName::from_static(name), HeaderValue::from(value));
 }
 
+/// Writes a target's load, short and long.
+pub(super) fn write_load(headers: &mut HeaderMap, load: Load) {
+    let [short, long] = load.0;
+    set(headers, LOAD, &format!("{short} {long}"));
+}
+
+/// Reads a target's load.
+pub(super) fn read_load(headers: &HeaderMap) -> Option<Load> {
+    let (short, long) = text(headers, LOAD)?.split_once(' ')?;
+    Some(Load([short.parse().ok()?, long.parse().ok()?]))
+}
+
 /// Removes the headers that concern one connection only.
 pub(super) fn strip_hop_by_hop(headers: &mut HeaderMap) {
     for name in HOP_BY_HOP {
--- a/src/proxy/mesh.rs
+++ b/src/proxy/mesh.rs
@@ -28,13 +28,14 @@
         if let Some(id) = path.strip_prefix(REQUEST_PATH) {
             return self.inquire(id);
         }
-        match self.call(request).await {
-            Ok(response) => response,
-            Err(refusal) => {
-                self.core.counters.count("mesh_refusals");
-                self.refuse(&refusal)
-            }
+        let mut response = self.call(request).await.unwrap_or_else(|refusal| {
+            self.core.counters.count("mesh_refusals");
+            self.refuse(&refusal)
+        });
+        if let Some(target) = &self.core.proxy.target {
+            headers::write_load(response.headers_mut(), target.load());
         }
+        response
     }
 }
 
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -19,10 +19,9 @@
 use crate::http::Handler;
 use crate::node::Core;
 use crate::proxy::requests::Requests;
-pub(crate) use crate::proxy::target::Load;
 use crate::proxy::target::TargetSide;
 use crate::roster::Roster;
-use crate::route::{Balancer, Budget, Place, Throttle};
+use crate::route::{Balancer, Budget, Load, Place, Throttle};
 use crate::settings::Settings;
 
 const IDLE_POLL: Duration = Duration::from_millis(10);
@@ -75,13 +74,13 @@
     /// Waits until the target runs nothing.
     pub(crate) async fn idle(&self) {
         let Some(target) = &self.target else { return };
-        while target.load().running > 0 {
+        while target.running() > 0 {
             tokio::time::sleep(IDLE_POLL).await;
         }
     }
 
     /// Load of the target beside this node.
-    pub(crate) fn load(&self) -> Option<target::Load> {
+    pub(crate) fn load(&self) -> Option<Load> {
         self.target.as_ref().map(TargetSide::load)
     }
 
--- a/src/proxy/target.rs
+++ b/src/proxy/target.rs
@@ -16,6 +16,7 @@
 use crate::node::Core;
 use crate::proxy::headers::{self, Envelope};
 use crate::roster::{Change, Crash, Presence};
+use crate::route::Load;
 use crate::settings::TargetSettings;
 use crate::verdict::{Reason, Refusal};
 
@@ -24,15 +25,6 @@
 const FAILURES_UNTIL_DOWN: u32 = 2;
 const CRASH_WINDOW: Duration = Duration::from_millis(50);
 
-/// Load of a target.
-#[derive(Clone, Copy, Debug, serde::Serialize)]
-pub(crate) struct Load {
-    /// Requests that hold a slot.
-    pub running: u32,
-    /// Requests that wait for a slot.
-    pub waiting: usize,
-}
-
 /// Requests lost together, which count as one crash.
 #[derive(Default)]
 struct Crashes {
@@ -69,10 +61,11 @@
     }
 
     pub(super) fn load(&self) -> Load {
-        Load {
-            running: self.admission.running(),
-            waiting: self.admission.waiting(),
-        }
+        self.admission.load()
+    }
+
+    pub(super) fn running(&self) -> u32 {
+        self.admission.running()
     }
 
     pub(super) fn drain(&self) {
--- a/src/route/balance.rs
+++ b/src/route/balance.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwap;
 use rand::seq::IndexedRandom;
 
+use crate::bundle::ClassKind;
 use crate::roster::{Member, Presence, Roster};
 use crate::route::Endpoint;
 
@@ -74,8 +75,13 @@
         self.groups.store(Arc::new(groups));
     }
 
-    /// Chooses a target of `group` that is not in `tried`. `None` if none is left.
-    pub(crate) fn choose(&self, group: &str, tried: &[String]) -> Option<Arc<Endpoint>> {
+    /// Chooses a target of `group` for a request of `kind`, none of those in `tried`. `None` if none is left.
+    pub(crate) fn choose(
+        &self,
+        group: &str,
+        kind: ClassKind,
+        tried: &[String],
+    ) -> Option<Arc<Endpoint>> {
         let groups = self.groups.load();
         let mut endpoints: Vec<&Arc<Endpoint>> = groups
             .get(group)?
@@ -88,9 +94,9 @@
         let free = tiers().find_map(|tier| {
             let usable = self.without_ejected(tier);
             let open: Vec<_> = usable.into_iter().filter(|e| !e.refusing()).collect();
-            pick(&open)
+            pick(&open, kind)
         });
-        free.or_else(|| tiers().find_map(|tier| pick(&self.without_ejected(tier))))
+        free.or_else(|| tiers().find_map(|tier| pick(&self.without_ejected(tier), kind)))
     }
 
     /// Leaves out ejected targets, but never more of them than the bound allows.
@@ -126,22 +132,22 @@
 
 /// Two random choices by cost, among the targets that are not far slower than the median. A slow
 /// one is tried again once its latency estimate has faded.
-fn pick(tier: &[&Arc<Endpoint>]) -> Option<Arc<Endpoint>> {
+fn pick(tier: &[&Arc<Endpoint>], kind: ClassKind) -> Option<Arc<Endpoint>> {
     if tier.len() <= 1 {
         return tier.first().map(|endpoint| (*endpoint).clone());
     }
-    let limit = median_latency(tier).max(LATENCY_FLOOR) * SLOW_MULTIPLE;
+    let limit = median_latency(tier, kind).max(LATENCY_FLOOR) * SLOW_MULTIPLE;
     let normal: Vec<_> = tier
         .iter()
         .copied()
-        .filter(|e| e.latency() <= limit)
+        .filter(|e| e.latency(kind) <= limit)
         .collect();
     let from = if normal.is_empty() { tier } else { &normal };
     let mut rng = rand::rng();
     let mut choices = from.sample(&mut rng, 2);
     let one = choices.next()?;
     let other = choices.next().unwrap_or(one);
-    let cheaper = if one.cost(LATENCY_FLOOR) <= other.cost(LATENCY_FLOOR) {
+    let cheaper = if one.cost(kind, LATENCY_FLOOR) <= other.cost(kind, LATENCY_FLOOR) {
         one
     } else {
         other
@@ -149,8 +155,8 @@
     Some((*cheaper).clone())
 }
 
-fn median_latency(tier: &[&Arc<Endpoint>]) -> f64 {
-    let mut latencies: Vec<f64> = tier.iter().map(|endpoint| endpoint.latency()).collect();
+fn median_latency(tier: &[&Arc<Endpoint>], kind: ClassKind) -> f64 {
+    let mut latencies: Vec<f64> = tier.iter().map(|endpoint| endpoint.latency(kind)).collect();
     latencies.sort_by(f64::total_cmp);
     latencies[(latencies.len() - 1) / 2]
 }
--- a/src/route/endpoint.rs
+++ b/src/route/endpoint.rs
@@ -1,9 +1,11 @@
-//! What a node has seen of one target: latency, requests in flight, failures, refusals.
+//! What a node has seen of one target: latency, requests in flight, failures, refusals. Latency
+//! and load are kept apart for short and long classes, or one long answer would make a target
+//! look slow to short requests.
 
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use crate::bundle::ClassKind;
 use crate::http::Pool;
 use crate::roster::{Member, Presence};
 
@@ -14,6 +16,7 @@
 const MAX_EJECTIONS_COUNTED: u32 = 6;
 const REFUSAL_PAUSE: Duration = Duration::from_millis(20);
 const SLOW_START: Duration = Duration::from_secs(5);
+const SLOW_START_PENALTY: f64 = 7.0;
 
 /// How a request to a target ended, as far as it tells about the target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,10 +31,46 @@
     Cancelled,
 }
 
-#[derive(Debug)]
-struct Health {
-    latency: f64,
+/// Requests at a target by [`ClassKind::index`], waiting ones included.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Load(pub [u32; ClassKind::COUNT]);
+
+impl Load {
+    fn total(self) -> u32 {
+        self.0.iter().sum()
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Latency {
+    seconds: f64,
     measured: Instant,
+}
+
+impl Latency {
+    fn measure(&mut self, latency: Duration) {
+        let latency = latency.as_secs_f64();
+        self.seconds = if self.seconds == 0.0 {
+            latency
+        } else {
+            self.seconds + LATENCY_WEIGHT * (latency - self.seconds)
+        };
+        self.measured = Instant::now();
+    }
+
+    /// The estimate, which fades with time so that a slow target is tried again.
+    fn estimate(self) -> f64 {
+        let halves = self.measured.elapsed().as_secs_f64() / LATENCY_HALF_LIFE.as_secs_f64();
+        self.seconds * 0.5_f64.powf(halves)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Health {
+    latency: [Latency; ClassKind::COUNT],
+    in_flight: Load,
+    /// Load from other nodes, as of the target's last answer.
+    others: Load,
     failures: u32,
     ejections: u32,
     ejected_until: Option<Instant>,
@@ -45,13 +84,13 @@
     pub member: Arc<Member>,
     /// Connections to its node.
     pub pool: Pool,
-    in_flight: AtomicU32,
     health: Mutex<Health>,
 }
 
 /// A request in flight; ends as [`Outcome::Cancelled`] unless another outcome is given.
 pub(crate) struct InFlight {
     endpoint: Arc<Endpoint>,
+    kind: ClassKind,
     began: Instant,
 }
 
@@ -63,22 +102,29 @@
 
     /// Ends the request.
     pub(crate) fn end(self, outcome: Outcome) {
-        self.endpoint.note(outcome, self.began.elapsed());
+        self.endpoint.note(self.kind, outcome, self.began.elapsed());
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.endpoint.in_flight.fetch_sub(1, Ordering::Relaxed);
+        let mut health = self.endpoint.lock();
+        let count = &mut health.in_flight.0[self.kind.index()];
+        *count = count.saturating_sub(1);
     }
 }
 
 impl Endpoint {
     /// A target that was just announced; `fresh` if it is known to have started lately.
     pub(crate) fn new(member: Arc<Member>, fresh: bool) -> Self {
-        let health = Health {
-            latency: 0.0,
+        let unknown = Latency {
+            seconds: 0.0,
             measured: Instant::now(),
+        };
+        let health = Health {
+            latency: [unknown; ClassKind::COUNT],
+            in_flight: Load::default(),
+            others: Load::default(),
             failures: 0,
             ejections: 0,
             ejected_until: None,
@@ -88,27 +134,29 @@
         Self {
             pool: Pool::new(member.mesh),
             member,
-            in_flight: AtomicU32::new(0),
             health: Mutex::new(health),
         }
     }
 
     /// The same target under a newer entry of the same incarnation.
     pub(crate) fn with_member(&self, member: Arc<Member>) -> Self {
-        let health = self.lock();
+        let health = Health {
+            in_flight: Load::default(),
+            ..self.lock().clone()
+        };
         Self {
             pool: self.pool.clone(),
             member,
-            in_flight: AtomicU32::new(0),
-            health: Mutex::new(Health { ..*health }),
+            health: Mutex::new(health),
         }
     }
 
     /// Counts a request as in flight.
-    pub(crate) fn begin(self: &Arc<Self>) -> InFlight {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
+    pub(crate) fn begin(self: &Arc<Self>, kind: ClassKind) -> InFlight {
+        self.lock().in_flight.0[kind.index()] += 1;
         InFlight {
             endpoint: self.clone(),
+            kind,
             began: Instant::now(),
         }
     }
@@ -134,42 +182,57 @@
             .is_some_and(|until| Instant::now() < until)
     }
 
-    /// Latency estimate in seconds; forgotten slowly, so that a slow target is tried again.
-    pub(crate) fn latency(&self) -> f64 {
-        let health = self.lock();
-        let halves = health.measured.elapsed().as_secs_f64() / LATENCY_HALF_LIFE.as_secs_f64();
-        health.latency * 0.5_f64.powf(halves)
+    /// Latency estimate for a kind of class, in seconds; 0 if nothing is known.
+    pub(crate) fn latency(&self, kind: ClassKind) -> f64 {
+        self.lock().latency[kind.index()].estimate()
     }
 
-    /// Expected cost of one more request: latency times the requests it would share with.
-    pub(crate) fn cost(&self, floor: f64) -> f64 {
-        let in_flight = f64::from(self.in_flight.load(Ordering::Relaxed));
+    /// Expected cost of one more request of `kind`: latency, raised by how full the slots are that
+    /// such a request may use.
+    pub(crate) fn cost(&self, kind: ClassKind, floor: f64) -> f64 {
+        let health = self.lock();
+        let at = |load: Load| match kind {
+            ClassKind::Short => load.total(),
+            ClassKind::Long => load.0[ClassKind::Long.index()],
+        };
+        let load = f64::from(at(health.others) + at(health.in_flight));
         let slots = self
             .member
             .offer
             .as_ref()
-            .map_or(1.0, |offer| f64::from(offer.slots));
-        (self.latency().max(floor)) * (1.0 + in_flight / slots) * self.start_penalty()
-            + in_flight * floor
+            .map_or(1, |offer| offer.slots.max(1));
+        let fill = 1.0 + load / f64::from(slots);
+        let latency = health.latency[kind.index()].estimate().max(floor);
+        latency * fill * fill * health.start_penalty()
     }
 
-    /// Falls from 8 to 1 while a target that just started warms up.
-    fn start_penalty(&self) -> f64 {
-        let started = self.lock().started;
-        let Some(started) = started else { return 1.0 };
-        let share = started.elapsed().as_secs_f64() / SLOW_START.as_secs_f64();
-        if share >= 1.0 {
-            1.0
-        } else {
-            1.0 + 7.0 * (1.0 - share)
+    /// Takes the load that the target's node reports with an answer.
+    pub(crate) fn note_load(&self, load: Load) {
+        let mut health = self.lock();
+        for index in 0..ClassKind::COUNT {
+            let own = health.in_flight.0[index];
+            health.others.0[index] = load.0[index].saturating_sub(own);
+        }
+    }
+
+    /// Raises the latency estimate for a request that is still unanswered.
+    pub(crate) fn note_unanswered(&self, kind: ClassKind, so_far: Duration) {
+        let latency = &mut self.lock().latency[kind.index()];
+        if so_far.as_secs_f64() > latency.estimate() {
+            latency.measure(so_far);
         }
     }
 
-    fn note(&self, outcome: Outcome, latency: Duration) {
+    /// Ejects at once, as when its node cannot be connected to.
+    pub(crate) fn eject(&self) {
+        self.lock().eject();
+    }
+
+    fn note(&self, kind: ClassKind, outcome: Outcome, latency: Duration) {
         let mut health = self.lock();
         match outcome {
             Outcome::Answered => {
-                health.measure(latency);
+                health.latency[kind.index()].measure(latency);
                 health.failures = 0;
                 health.refused_until = None;
             }
@@ -188,34 +251,19 @@
         }
     }
 
-    /// Raises the latency estimate for a request that is still unanswered.
-    pub(crate) fn note_unanswered(&self, so_far: Duration) {
-        let mut health = self.lock();
-        if so_far.as_secs_f64() > health.latency {
-            health.measure(so_far);
-        }
-    }
-
-    /// Ejects at once, as when its node cannot be connected to.
-    pub(crate) fn eject(&self) {
-        self.lock().eject();
-    }
-
     fn lock(&self) -> std::sync::MutexGuard<'_, Health> {
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Health {
-    fn measure(&mut self, latency: Duration) {
-        let latency = latency.as_secs_f64();
-        let first = self.latency == 0.0;
-        self.latency = if first {
-            latency
-        } else {
-            self.latency + LATENCY_WEIGHT * (latency - self.latency)
+    /// Falls to 1 while a target that just started warms up.
+    fn start_penalty(&self) -> f64 {
+        let Some(started) = self.started else {
+            return 1.0;
         };
-        self.measured = Instant::now();
+        let share = started.elapsed().as_secs_f64() / SLOW_START.as_secs_f64();
+        1.0 + SLOW_START_PENALTY * (1.0 - share).max(0.0)
     }
 
     fn eject(&mut self) {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -7,5 +7,5 @@
 
 pub(crate) use balance::{Balancer, Place};
 pub(crate) use budget::{Budget, Throttle};
-pub(crate) use endpoint::{Endpoint, InFlight, Outcome};
+pub(crate) use endpoint::{Endpoint, InFlight, Load, Outcome};
 pub(crate) use table::{Matched, Table};
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -201,7 +201,9 @@
     if query.contains(LONG_MARK) {
         time *= shared.options.long_multiple;
     }
-    tokio::time::sleep(time).await;
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
     if query.contains(CRASH_MARK) {
         shared.crashed.store(true, Ordering::Relaxed);
         shared.crashes.send_modify(|crashes| *crashes += 1);
