--- a/src/bench/crest.rs
+++ b/src/bench/crest.rs
@@ -1,10 +1,12 @@
 //! Goodput at the crest: more calls than the targets have slots for, from callers that try again.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::bench::fixture;
 use crate::bench::load::{self, Kind, Load};
 use crate::error::Result;
+use crate::standin::Mesh;
 
 const SLOTS: u32 = 12;
 const TARGETS: u32 = 6;
@@ -31,28 +33,49 @@
             };
             let load = Load {
                 callers,
-                kinds: vec![Kind {
-                    path: "/read".into(),
-                    keyed: false,
-                    share: 1.0,
-                }],
+                kinds: vec![kind("/read", false, 0.8), kind("/book", true, 0.2)],
                 rate: capacity * multiple,
                 duration: DURATION,
                 deadline: DEADLINE,
                 retry: true,
             };
             let outcomes = load::run(&load).await;
+            let goodput: f64 = outcomes.iter().map(|outcome| outcome.goodput(&load)).sum();
             let outcome = &outcomes[0];
-            let goodput = outcome.goodput(&load);
             println!(
-                "{multiple:>3}x   {:<9} {goodput:>9.0}  {:>10.1}%  {:>6.1}%  {:>6.1}  {:>6.1}",
+                "{multiple:>3}x   {:<9} {goodput:>9.0}  {:>10.1}%  {:>6.1}%  {:>6.1}  {:>6.1}  {}",
                 if direct { "direct" } else { "nodes" },
                 100.0 * goodput / capacity,
                 outcome.in_time_percent(),
                 outcome.quantile_ms(0.5),
                 outcome.quantile_ms(0.99),
+                outcome.failures(),
+            );
+            println!(
+                "       book: {}; keys that ran twice: {}",
+                outcomes[1].failures(),
+                duplicates(&mesh)
             );
         }
     }
     Ok(())
 }
+
+fn kind(path: &str, keyed: bool, share: f64) -> Kind {
+    Kind {
+        path: path.into(),
+        keyed,
+        share,
+    }
+}
+
+/// Number of idempotency keys that ran more than once, at any targets.
+fn duplicates(mesh: &Mesh) -> usize {
+    let mut runs: HashMap<String, u32> = HashMap::new();
+    for target in mesh.targets.iter().flatten() {
+        for (key, count) in target.runs_by_key() {
+            *runs.entry(key).or_default() += count;
+        }
+    }
+    runs.values().filter(|count| **count > 1).count()
+}
--- a/src/bench/load.rs
+++ b/src/bench/load.rs
@@ -1,5 +1,6 @@
 //! A load generator: calls at a constant rate, whatever becomes of earlier ones.
 
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -58,6 +59,8 @@
     pub may_have_run: u64,
     /// Other failures, such as a target's own 503 or a broken connection.
     pub failed: u64,
+    /// Reasons of the refusals, with their numbers.
+    pub reasons: BTreeMap<String, u64>,
     /// Latency of the successful calls in microseconds, retries included.
     pub latency: Histogram<u64>,
 }
@@ -71,6 +74,7 @@
             not_run: 0,
             may_have_run: 0,
             failed: 0,
+            reasons: BTreeMap::new(),
             latency: Histogram::new_with_bounds(1, HIGHEST_MICROS, 3).expect("valid bounds"),
         }
     }
@@ -84,6 +88,11 @@
                 .saturating_record(u64::try_from(took.as_micros()).unwrap_or(u64::MAX));
             return;
         }
+        let reason = answer
+            .reason
+            .clone()
+            .unwrap_or_else(|| answer.status.to_string());
+        *self.reasons.entry(reason).or_default() += 1;
         match answer.verdict {
             Some(Verdict::NotRun) => self.not_run += 1,
             Some(Verdict::MayHaveRun) => self.may_have_run += 1,
@@ -91,6 +100,20 @@
         }
     }
 
+    /// Calls that failed, by verdict, in short.
+    pub(super) fn failures(&self) -> String {
+        let Self {
+            not_run,
+            may_have_run,
+            failed,
+            ..
+        } = self;
+        format!(
+            "{not_run} not run, {may_have_run} may have run, {failed} failed {:?}",
+            self.reasons
+        )
+    }
+
     /// A quantile of the latency of successful calls, in milliseconds.
     pub(super) fn quantile_ms(&self, quantile: f64) -> f64 {
         let micros = u32::try_from(self.latency.value_at_quantile(quantile)).unwrap_or(u32::MAX);
--- a/src/bench/mixed.rs
+++ b/src/bench/mixed.rs
@@ -50,7 +50,7 @@
             let outcomes = load::run(&load).await;
             let (short, long) = (&outcomes[0], &outcomes[1]);
             println!(
-                "{:>3.0}%  {:<6}  {:>12.2}  {:>6.2}  {:>6.1}%  {:>11.1}  {:>6.1}%  {rate:>7.0}",
+                "{:>3.0}%  {:<6}  {:>12.2}  {:>6.2}  {:>6.1}%  {:>11.1}  {:>6.1}%  {rate:>7.0}  {}",
                 share * 100.0,
                 if direct { "direct" } else { "nodes" },
                 short.quantile_ms(0.5),
@@ -58,6 +58,7 @@
                 short.in_time_percent(),
                 long.quantile_ms(0.5),
                 long.in_time_percent(),
+                short.failures(),
             );
         }
     }
--- a/src/bench/slow.rs
+++ b/src/bench/slow.rs
@@ -49,12 +49,13 @@
             let outcomes = load::run(&load).await;
             let outcome = &outcomes[0];
             println!(
-                "{slowed}       {:<6}  {:>6.1}  {:>6.1}  {:>8.1}  {:>6.2}%",
+                "{slowed}       {:<6}  {:>6.1}  {:>6.1}  {:>8.1}  {:>6.2}%  {}",
                 if direct { "direct" } else { "nodes" },
                 outcome.quantile_ms(0.5),
                 outcome.quantile_ms(0.99),
                 outcome.quantile_ms(0.999),
                 outcome.in_time_percent(),
+                outcome.failures(),
             );
         }
     }
