Go on as registrar while the platform is down; write reports again after a lapse

Cause: with the platform down, members that had heard no heartbeat announced themselves without a pause (a busy loop, and a storm on a real platform); heartbeats and departures stopped with the lease; a report that met a lapsed lease was never written again, so no later version was accepted. Ruled out: the driver (it ran, and saw reports of an old revision), the renewal (it succeeded). Change: back-off with jitter; the holder keeps its soft role until it knows of a successor; reports are tried again. Objects whose stored answer was lost are read back.

--- a/src/claim/mod.rs
+++ b/src/claim/mod.rs
@@ -124,7 +124,7 @@
         }
         let core = self.core.upgrade()?;
         let query = OwnerQuery { shard, failed };
-        let owner = if core.lease.holding().is_some() {
+        let owner = if core.lease.acting().is_some() {
             self.owner(query).await
         } else {
             let registrar = core.registrar()?.holder.control;
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -246,7 +246,7 @@
     /// Tells the registrar of a change; dropped if there is none, callers repeat what matters.
     pub(crate) async fn report(&self, change: Change) {
         use crate::wire::ControlClient as _;
-        if self.lease.holding().is_some() {
+        if self.lease.acting().is_some() {
             let _ = self.tasks.try_send(Task::Change(change));
             return;
         }
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -27,6 +27,7 @@
 /// For how long after a new head members that did not answer are told again quickly.
 const REPEAT_TERM: Duration = Duration::from_secs(2);
 const TERMS_UNTIL_GONE: u32 = 2;
+const REPORT_RETRY_PAUSE: Duration = Duration::from_millis(200);
 const STANDBYS: usize = 2;
 const REFRESHES_UNTIL_STALE: u32 = 3;
 const STANDBY_SEED: u64 = 1;
@@ -62,7 +63,7 @@
             () = tokio::time::sleep(TICK) => {}
             _ = stopped.changed() => return,
         }
-        if let Some(holder) = core.lease.holding() {
+        if let Some(holder) = core.lease.acting() {
             log::info!(
                 "registrar of {} under epoch {}",
                 holder.data_center,
@@ -100,7 +101,7 @@
                 }
             );
         }
-        if core.lease.holding().is_none() && matches!(outcome, Ok(false)) {
+        if core.lease.acting().is_none() {
             return;
         }
     }
@@ -268,12 +269,12 @@
         }
     }
 
-    /// Works until the lease is lost. Never waits for the platform, so that heartbeats and
+    /// Works until the lease is known to be lost. Never waits for the platform, so that heartbeats and
     /// roster changes go on while it is down.
     async fn serve(mut self, inbox: &mut mpsc::Receiver<Task>) {
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        while self.core.lease.holding().is_some() {
+        while self.acts() {
             tokio::select! {
                 Some(task) = inbox.recv() => self.take(task),
                 Some((revision, tally)) = self.answered.recv() => self.report(revision, tally),
@@ -282,6 +283,12 @@
         }
     }
 
+    /// Whether the lease is not known to be lost, and no registrar of a higher epoch was heard.
+    fn acts(&self) -> bool {
+        let known = self.core.registrar().map_or(0, |known| known.holder.epoch);
+        self.core.lease.acting().is_some() && known <= self.holder.epoch
+    }
+
     fn take(&mut self, task: Task) {
         match task {
             Task::Announce(member) => {
@@ -468,8 +475,13 @@
                 Ok(transaction) => core.platform.table.transact(&transaction).await.map(|_| ()),
                 Err(error) => Err(error),
             };
+            if let Err(error) = &written {
+                log::debug!("report of {}: {error}", report.data_center);
+            }
             match written {
-                Err(Error::Unavailable(_)) => tokio::time::sleep(CALL_TIMEOUT).await,
+                Err(Error::Unavailable(_) | Error::State(_)) => {
+                    tokio::time::sleep(REPORT_RETRY_PAUSE).await;
+                }
                 _ => break,
             }
         }
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -19,6 +19,7 @@
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+const MAX_FAILURES_COUNTED: u32 = 5;
 const HERD_SPREAD_PER_MEMBER: Duration = Duration::from_millis(2);
 const BEATS_UNTIL_SILENCE: u32 = 3;
 const NEIGHBOURS: usize = 2;
@@ -28,28 +29,40 @@
 
 /// Keeps this node announced to its registrar; contends for the lease where there is none.
 pub(super) async fn run(core: Arc<Core>, mut stopped: watch::Receiver<()>) {
+    let mut failures = 0;
     loop {
-        let timing = core.settings.timing;
-        let pause = match announce(&core).await {
+        let failures_before = failures;
+        failures = match announce(&core).await {
             Some(welcome) if welcome.accepted => {
                 take_welcome(&core, &welcome).await;
-                jitter(timing.refresh)
+                0
             }
             _ => {
                 start_from_seeds(&core).await;
-                jitter(RETRY_PAUSE)
+                (failures_before + 1).min(MAX_FAILURES_COUNTED)
             }
         };
-        let silence = timing.beat * BEATS_UNTIL_SILENCE;
         tokio::select! {
-            () = until_refresh(&core, pause) => {}
-            () = core.announce.notified() => spread(&core).await,
-            () = until_silent(&core, silence) => {}
+            () = rest(&core, failures) => {}
             _ = stopped.changed() => return,
         }
     }
 }
 
+/// Waits until this node has to announce itself again.
+async fn rest(core: &Core, failures: u32) {
+    if failures > 0 {
+        let backoff = RETRY_PAUSE * 2_u32.pow(failures - 1);
+        return tokio::time::sleep(jitter(backoff)).await;
+    }
+    let timing = core.settings.timing;
+    tokio::select! {
+        () = until_refresh(core, jitter(timing.refresh)) => {}
+        () = core.announce.notified() => spread(core).await,
+        () = until_silent(core, timing.beat * BEATS_UNTIL_SILENCE) => {}
+    }
+}
+
 /// Waits a moment, so that members of a large data centre do not announce at the same time.
 async fn spread(core: &Core) {
     let leaving = core.member().presence == crate::roster::Presence::Leaving;
@@ -118,7 +131,7 @@
 
 /// Reads the lease row, and takes the lease if it is free or has lapsed.
 async fn find_registrar(core: &Arc<Core>) -> Option<Holder> {
-    if let Some(own) = core.lease.holding() {
+    if let Some(own) = core.lease.acting() {
         return Some(own);
     }
     core.counters.count("lease_reads");
--- a/src/platform/lease.rs
+++ b/src/platform/lease.rs
@@ -88,6 +88,13 @@
         valid.map(|held| held.holder.clone())
     }
 
+    /// The holder's own entry until it is known that the lease was lost. A holder that cannot reach
+    /// the platform goes on with what is soft state; nobody can take the lease either meanwhile, and
+    /// members follow the highest epoch they hear of.
+    pub(crate) fn acting(&self) -> Option<Holder> {
+        lock(&self.held).as_ref().map(|held| held.holder.clone())
+    }
+
     /// Adds the condition that this node still holds the lease.
     ///
     /// Fails with [`Error::State`] if it does not, as far as its own clock tells.
--- a/src/rollout/operator.rs
+++ b/src/rollout/operator.rs
@@ -211,7 +211,7 @@
         let objects = &self.platform.objects;
         let whole = compress(bytes, None)?;
         let name = object_name(digest);
-        retry(|| objects.store(&name, whole.clone())).await?;
+        retry(|| self.store_object(&name, &whole)).await?;
         let (rollout, _) = retry(|| read_rollout(&self.platform)).await?;
         let Some(base) = rollout.active.map(|active| active.digest) else {
             return Ok(());
@@ -222,7 +222,19 @@
         };
         let delta = compress(bytes, Some(&decompress(&packed, None)?))?;
         let name = delta_name(base, digest);
-        retry(|| objects.store(&name, delta.clone())).await
+        retry(|| self.store_object(&name, &delta)).await
+    }
+
+    /// Stores an object; if the answer is lost, reads back whether it is there.
+    async fn store_object(&self, name: &str, bytes: &Bytes) -> Result<()> {
+        let objects = &self.platform.objects;
+        let Err(error) = objects.store(name, bytes.clone()).await else {
+            return Ok(());
+        };
+        match objects.fetch(name).await? {
+            Some(stored) if stored == *bytes => Ok(()),
+            _ => Err(error),
+        }
     }
 
     fn draft(&self, rollout: &Rollout, digest: Digest, size: usize) -> Draft {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -11,13 +11,14 @@
 use bluebellgap::verdict::Verdict;
 
 const LIMIT: Duration = Duration::from_secs(15);
+const CASE_LIMIT: Duration = Duration::from_mins(1);
 
 /// Names each case and runs it on its own multi-threaded runtime.
 macro_rules! cases {
     ($($name:ident => $body:expr;)*) => {
         $(#[tokio::test(flavor = "multi_thread")]
         async fn $name() {
-            tokio::time::timeout(Duration::from_secs(60), $body).await.expect("the case is stuck");
+            tokio::time::timeout(CASE_LIMIT, $body).await.expect("the case is stuck");
         })*
     };
 }
@@ -38,6 +39,7 @@
 }
 
 async fn start(layout: &Layout) -> Mesh {
+    let _ = env_logger::builder().is_test(true).try_init();
     let mesh = Mesh::start(layout).unwrap();
     mesh.acquainted(LIMIT).await.unwrap();
     let version = mesh.roll(&sample_bundle(1)).await.unwrap();
