--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -224,3 +224,6 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+#[cfg(all(test, feature = "standin"))]
+mod tests;
--- a/src/ini.rs
+++ b/src/ini.rs
@@ -141,9 +141,7 @@
             },
             Item::Property(key, None) => {
                 let title = self.sections.last().map(Section::title).unwrap_or_default();
-                faults
-                    .0
-                    .push(fault(&title, key, line, "expected 'key = value'"));
+                faults.0.push(fault(&title, key, line, without_value(key)));
             }
             Item::Error(text) => faults.0.push(fault(
                 text,
@@ -186,6 +184,14 @@
     }
 }
 
+fn without_value(line: &str) -> &'static str {
+    if line.starts_with('#') {
+        "comments begin with ';'"
+    } else {
+        "expected 'key = value'"
+    }
+}
+
 fn fault(section: &str, key: &str, line: u32, message: &str) -> Fault {
     Fault {
         section: section.to_owned(),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -51,3 +51,6 @@
     /// The object store.
     pub objects: Arc<dyn Objects>,
 }
+
+#[cfg(all(test, feature = "standin"))]
+mod tests;
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -107,3 +107,6 @@
 pub(crate) fn mesh_handler(core: Arc<Core>) -> Arc<dyn Handler> {
     Arc::new(mesh::MeshSide { core })
 }
+
+#[cfg(all(test, feature = "standin"))]
+mod tests;
--- /dev/null
+++ b/src/proxy/tests.rs
@@ -0,0 +1,168 @@
+//! Tests of the request path against targets and nodes that misbehave on the wire.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::node::Node;
+use crate::proxy::requests::{Phase, Requests};
+use crate::roster::{Member, Offer, Presence};
+use crate::settings::TargetSettings;
+use crate::standin::{Answer, Layout, Mesh, Target, TargetOptions, sample_bundle};
+use crate::verdict::Verdict;
+use crate::wire::ControlClient as _;
+
+const LIMIT: Duration = Duration::from_secs(15);
+
+/// How a fake answers a request.
+#[derive(Clone, Copy)]
+enum Script {
+    /// These bytes, then the connection closes.
+    Bytes(&'static str),
+    /// Nothing on the connections of calls; "never seen" to questions about requests.
+    SilentNode,
+}
+
+/// Listens and follows a script on every connection.
+async fn fake(script: Script) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(follow(stream, script));
+        }
+    });
+    address
+}
+
+async fn follow(mut stream: TcpStream, script: Script) {
+    let mut buffer = vec![0; 4096];
+    let Ok(read) = stream.read(&mut buffer).await else {
+        return;
+    };
+    let request = String::from_utf8_lossy(&buffer[..read]).into_owned();
+    match script {
+        _ if read == 0 => {}
+        Script::Bytes(bytes) => {
+            let _ = stream.write_all(bytes.as_bytes()).await;
+        }
+        Script::SilentNode if request.contains("/.bluebellgap/request/") => {
+            let answer = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nCancelled";
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+        Script::SilentNode => std::future::pending().await,
+    }
+}
+
+/// A mesh of one node, whose target is at `target`.
+async fn one_node(target: SocketAddr) -> (Mesh, Node) {
+    let mut layout = Layout::new(1, 1, 1);
+    layout.target = None;
+    let mut mesh = Mesh::start(&layout).unwrap();
+    mesh.kill(0);
+    let mut settings = mesh.settings[0].clone();
+    settings.node = "front".into();
+    settings.target = Some(TargetSettings {
+        group: "depot".into(),
+        address: target,
+        slots: 4,
+        connections: 4,
+    });
+    let node = Node::start(settings, mesh.memory.platform()).unwrap();
+    let version = mesh.roll(&sample_bundle(1)).await.unwrap();
+    let arrived = async { node.watch().wait_for(|v| *v >= version).await.map(|_| ()) };
+    tokio::time::timeout(LIMIT, arrived).await.unwrap().unwrap();
+    let began = std::time::Instant::now();
+    while node.serving_targets("depot") == 0 {
+        assert!(began.elapsed() < LIMIT);
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    (mesh, node)
+}
+
+async fn call(target: Script, path: &str) -> Answer {
+    let (_mesh, node) = one_node(fake(target).await).await;
+    let caller = crate::standin::Caller::new(node.addresses().caller);
+    caller.post(path, "key", "body").await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_truncated_answer_never_looks_complete() {
+    let cut = "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nonly this";
+    let answer = call(Script::Bytes(cut), "/read").await;
+    assert_eq!(answer.status, 0, "{answer:?}");
+    let answer = call(Script::Bytes(cut), "/book").await;
+    assert_eq!(
+        (answer.ok(), answer.verdict),
+        (false, Some(Verdict::MayHaveRun)),
+        "{answer:?}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_targets_own_503_proves_nothing_and_cannot_forge_a_verdict() {
+    let forged = "HTTP/1.1 503 Busy\r\ncontent-length: 4\r\n\
+                  x-bluebellgap-verdict: not-run\r\nx-bluebellgap-reason: overloaded\r\n\r\nbusy";
+    let answer = call(Script::Bytes(forged), "/read").await;
+    assert_eq!((answer.status, answer.verdict), (503, None), "{answer:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_lost_with_the_connection_may_have_run() {
+    let answer = call(Script::Bytes(""), "/book").await;
+    assert_eq!(answer.verdict, Some(Verdict::MayHaveRun), "{answer:?}");
+    assert_eq!(answer.reason.as_deref(), Some("connection-lost"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_connection_is_found_and_even_a_booking_goes_elsewhere() {
+    let any = "127.0.0.1:0".parse().unwrap();
+    let target = Target::start(any, TargetOptions::default()).unwrap();
+    let (_mesh, node) = one_node(target.address()).await;
+    let silent = Member {
+        node: "silent".into(),
+        incarnation: 1,
+        revision: 0,
+        region: "region-0".into(),
+        data_center: "region-0-0".into(),
+        mesh: fake(Script::SilentNode).await,
+        control: node.addresses().control,
+        offer: Some(Offer {
+            group: "depot".into(),
+            slots: 4,
+        }),
+        presence: Presence::Serving,
+    };
+    let control = format!("http://{}", node.addresses().control);
+    let client = jsonrpsee_http_client::HttpClient::builder()
+        .build(control)
+        .unwrap();
+    assert!(client.announce(silent).await.unwrap().accepted);
+    while node.serving_targets("depot") < 2 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let caller = crate::standin::Caller::new(node.addresses().caller);
+    for number in 0..20 {
+        let answer = caller.post("/book", &format!("key-{number}"), "unit").await;
+        assert!(answer.ok(), "{answer:?}");
+    }
+    assert!(
+        node.counter("silent_connections") > 0,
+        "no call met the silent connection"
+    );
+    assert!(target.runs_by_key().values().all(|runs| *runs == 1));
+}
+
+#[test]
+fn a_request_asked_about_before_it_arrives_is_refused_when_it_does() {
+    let requests = Requests::default();
+    assert_eq!(requests.inquire(7), Phase::Cancelled);
+    assert!(requests.begin(7).is_none());
+    let running = requests.begin(8).unwrap();
+    assert_eq!(requests.inquire(8), Phase::Running);
+    drop(running);
+    assert_eq!(requests.inquire(8), Phase::Done);
+    assert!(requests.begin(8).is_none(), "the same attempt ran twice");
+}
--- a/src/roster/mod.rs
+++ b/src/roster/mod.rs
@@ -12,3 +12,6 @@
 pub(crate) use suspicion::Suspicions;
 pub(crate) use view::{Applied, Roster, View};
 pub use view::{Change, Position, Update};
+
+#[cfg(all(test, feature = "standin"))]
+mod tests;
--- /dev/null
+++ b/src/roster/tests.rs
@@ -0,0 +1,148 @@
+//! Tests of the roster's copies and of suspicions.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use crate::roster::{
+    Applied, Change, Crash, Member, Position, Presence, Registrar, Suspicions, Update, View,
+};
+
+fn member(number: usize) -> Member {
+    let address = "127.0.0.1:1".parse().unwrap();
+    Member {
+        node: format!("node-{number}"),
+        incarnation: 1,
+        revision: 0,
+        region: "r".into(),
+        data_center: "d".into(),
+        mesh: address,
+        control: address,
+        offer: None,
+        presence: Presence::Serving,
+    }
+}
+
+/// Updates of one registrar that announces and drops members as `steps` say.
+fn updates(steps: &[(usize, bool)], view: &mut View, epoch: u64) -> Vec<Update> {
+    let mut registrar = Registrar::new("d", view.position("d"), epoch);
+    let mut updates = Vec::new();
+    for (number, joins) in steps {
+        if *joins {
+            registrar.announce(member(*number), view);
+        } else {
+            let node = format!("node-{number}");
+            registrar.add(Change::Left {
+                node,
+                incarnation: 1,
+            });
+        }
+        while let Some(update) = registrar.flush() {
+            assert_eq!(view.apply(&update), Applied::Taken);
+            updates.push(update);
+        }
+    }
+    updates
+}
+
+fn names(view: &View) -> Vec<String> {
+    let roster = view.roster();
+    roster
+        .center("d")
+        .iter()
+        .map(|member| member.node.clone())
+        .collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 128,
+        rng_seed: RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Updates that come late, twice and crossed lead to the registrar's own copy, once what is
+    /// missing was pulled.
+    #[test]
+    fn crossed_updates_converge(
+        steps in prop::collection::vec((0_usize..8, any::<bool>()), 1..40),
+        order in prop::collection::vec(any::<prop::sample::Index>(), 0..80),
+    ) {
+        let mut source = View::default();
+        let updates = updates(&steps, &mut source, 1);
+        let mut copy = View::default();
+        let mut last = Position::default();
+        for index in order {
+            copy.apply(&updates[index.index(updates.len())]);
+            prop_assert!(copy.position("d") >= last, "a copy went back");
+            last = copy.position("d");
+        }
+        for update in source.newer_than(&copy.positions()) {
+            prop_assert_eq!(copy.apply(&update), Applied::Taken);
+        }
+        prop_assert_eq!(copy.position("d"), source.position("d"));
+        prop_assert_eq!(names(&copy), names(&source));
+    }
+}
+
+#[test]
+fn an_empty_view_of_a_new_registrar_is_not_believed() {
+    let mut copy = View::default();
+    updates(&[(1, true), (2, true)], &mut copy, 1);
+    let mut empty = View::default();
+    updates(&[(3, true)], &mut empty, 2);
+    for update in empty.newer_than(&copy.positions()) {
+        copy.apply(&update);
+    }
+    assert_eq!(names(&copy), ["node-1", "node-2", "node-3"]);
+    assert!(!copy.expire(Duration::from_secs(30)));
+    assert!(copy.expire(Duration::ZERO));
+    assert_eq!(names(&copy), ["node-3"]);
+}
+
+#[test]
+fn updates_of_a_former_registrar_are_ignored() {
+    let mut source = View::default();
+    let old = updates(&[(1, true), (1, false)], &mut source, 1);
+    let mut copy = View::default();
+    copy.apply(&old[0]);
+    let mut successor = View::default();
+    successor.apply(&old[0]);
+    for update in updates(&[(2, true)], &mut successor, 2) {
+        copy.apply(&update);
+    }
+    assert_eq!(copy.apply(&old[1]), Applied::Known);
+    assert_eq!(names(&copy), ["node-1", "node-2"]);
+}
+
+fn crash(number: u64, fingerprints: &[u64]) -> Crash {
+    Crash {
+        node: "node-1".into(),
+        number,
+        incarnation: 1,
+        fingerprints: fingerprints.to_vec(),
+    }
+}
+
+#[test]
+fn a_fingerprint_is_refused_after_two_crashes() {
+    let suspicions = Suspicions::default();
+    suspicions.note(&crash(1, &[7, 8]));
+    suspicions.note(&crash(1, &[7, 8]));
+    assert!(!suspicions.refuses(7), "one crash was counted twice");
+    assert!(suspicions.suspects(7));
+    suspicions.note(&crash(2, &[7]));
+    assert!(suspicions.refuses(7));
+    assert!(!suspicions.refuses(8));
+}
+
+#[test]
+fn a_completed_request_is_innocent() {
+    let suspicions = Suspicions::default();
+    suspicions.note(&crash(1, &[7]));
+    assert!(suspicions.complete(7), "others must hear of it");
+    assert!(!suspicions.suspects(7));
+    assert_eq!(suspicions.suspicious(vec![7, 9, 9]), [9]);
+}
