Golden files of an operator's and a caller's session; refuse calls without time as not run

Cause: a call whose deadline had passed was sent all the same and reported as possibly run. Seen in the caller's session (504 may-have-run), now 503 not-run.

--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -31,6 +31,9 @@
 /// Tries targets until one answers, the attempts or the budget are used up, or a failure forbids
 /// another attempt.
 pub(super) async fn dispatch(core: &Arc<Core>, call: &Arc<Call>) -> Answer {
+    if call.left().is_zero() {
+        return Err(Refusal::not_run(Reason::Deadline));
+    }
     let mut tried = Vec::new();
     let mut last = Refusal::not_run(Reason::NoTarget);
     for number in 0..MAX_ATTEMPTS {
--- /dev/null
+++ b/tests/sessions.rs
@@ -0,0 +1,116 @@
+//! Golden files of whole sessions: what an operator and a caller see.
+
+use std::net::SocketAddr;
+use std::process::Command;
+use std::time::Duration;
+
+use bluebellgap::standin::{Answer, Caller, Layout, Memory, Mesh, PlatformServer, sample_bundle};
+
+const BUNDLE: &str = include_str!("../examples/corrib-bundle.ini");
+
+/// Runs a command and returns it with its output and exit code, as one would see it.
+fn step(folder: &std::path::Path, platform: SocketAddr, operator: &str, line: &str) -> String {
+    let key = format!("{operator}.key");
+    let output = Command::new(env!("CARGO_BIN_EXE_bluebellgap"))
+        .args(line.split(' '))
+        .current_dir(folder)
+        .env("RUST_LOG", "off")
+        .env("BLUEBELLGAP_PLATFORM", platform.to_string())
+        .env("BLUEBELLGAP_OPERATOR", operator)
+        .env("BLUEBELLGAP_KEY", key)
+        .output()
+        .unwrap();
+    let stdout = String::from_utf8_lossy(&output.stdout);
+    let stderr = String::from_utf8_lossy(&output.stderr);
+    format!(
+        "{operator}$ bluebellgap {line}\n{stdout}{stderr}exit {}\n\n",
+        output.status.code().unwrap_or(-1)
+    )
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operators_session() {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("bundle.ini"), BUNDLE).unwrap();
+    let dangling = BUNDLE.replace("service = scan-archive", "service = archive");
+    std::fs::write(folder.path().join("dangling.ini"), dangling).unwrap();
+    let server = PlatformServer::start("127.0.0.1:0".parse().unwrap(), Memory::new()).unwrap();
+    let steps = [
+        ("alice", "keygen alice --out alice.key"),
+        ("bob", "keygen bob --out bob.key"),
+        ("alice", "keygen alice --out alice.key"),
+        ("alice", "bundle check bundle.ini"),
+        ("alice", "bundle push dangling.ini"),
+        ("alice", "status"),
+        ("alice", "bundle push bundle.ini"),
+        ("bob", "bundle push bundle.ini"),
+        ("alice", "approve 1 --no-watch"),
+        ("bob", "approve 2 --no-watch"),
+        ("bob", "status"),
+        ("bob", "stop 1"),
+        ("alice", "approve 1 --no-watch"),
+        ("bob", "sign 2"),
+        ("alice", "approve 2 --no-watch"),
+        ("bob", "supersede --like 1 --no-watch"),
+        ("alice", "status"),
+        ("alice", "stop 9"),
+        ("alice", "bundle push --base 7 bundle.ini"),
+    ];
+    let address = server.address();
+    let session = tokio::task::spawn_blocking(move || {
+        steps
+            .map(|(operator, line)| step(folder.path(), address, operator, line))
+            .concat()
+    });
+    let session = session.await.unwrap();
+    let mut settings = insta::Settings::clone_current();
+    settings.add_filter("[0-9a-f]{64}", "<hex>");
+    settings.bind(|| insta::assert_snapshot!(session));
+}
+
+/// One exchange as a caller sees it, without what varies from run to run.
+fn exchange(request: &str, answer: &Answer) -> String {
+    let verdict = answer
+        .verdict
+        .map_or("-".to_owned(), |verdict| verdict.to_string());
+    let reason = answer.reason.as_deref().unwrap_or("-");
+    let replayed = if answer.replayed { " replayed" } else { "" };
+    format!(
+        "{request}\n  {} verdict {verdict} reason {reason}{replayed}\n",
+        answer.status
+    )
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_callers_session() {
+    let mesh = Mesh::start(&Layout::new(1, 1, 2)).unwrap();
+    let limit = Duration::from_secs(15);
+    mesh.acquainted(limit).await.unwrap();
+    let caller = mesh.caller(0);
+    let mut session = exchange("GET /read before any version", &caller.get("/read").await);
+    let version = mesh.roll(&sample_bundle(1)).await.unwrap();
+    mesh.converged(version, limit).await.unwrap();
+    session += &exchange("GET /read", &caller.get("/read").await);
+    session += &exchange("GET /reading", &caller.get("/reading").await);
+    session += &exchange("GET /book without a key", &caller.get("/book").await);
+    session += &exchange(
+        "POST /book key a",
+        &caller.post("/book", "a", "unit 7").await,
+    );
+    session += &exchange(
+        "POST /book key a again",
+        &caller.post("/book", "a", "unit 7").await,
+    );
+    session += &exchange(
+        "POST /book key a, other body",
+        &caller.post("/book", "a", "unit 8").await,
+    );
+    let hurried = Caller::new(mesh.node(0).addresses().caller).deadline(Duration::ZERO);
+    session += &exchange("GET /read with no time left", &hurried.get("/read").await);
+    let large = vec![0; 5 * 1024 * 1024];
+    session += &exchange(
+        "POST /book of 5 MiB",
+        &caller.post("/book", "b", large).await,
+    );
+    insta::assert_snapshot!(session);
+}
