--- a/tests/bundles.rs
+++ b/tests/bundles.rs
@@ -1,5 +1,7 @@
 //! Properties of bundles: closed, canonical, refused as a whole if altered.
 
+use std::fmt::Write as _;
+
 use bluebellgap::Error;
 use bluebellgap::bundle::{
     Bundle, Digest, MAX_BUNDLE_BYTES, Signer, Trust, Version, decode, encode,
@@ -16,18 +18,25 @@
     (prop::collection::vec(name, 1..4), routes).prop_map(|(groups, routes)| {
         let mut text = "[bundle]\nname = any\n[class short]\nkind = short\n".to_owned();
         for service in &NAMES[..3] {
-            text += &format!("[group {service}]\n");
+            writeln!(text, "[group {service}]").unwrap();
         }
         for (index, group) in groups.iter().enumerate() {
-            text += &format!("[service {}]\ngroup = {}\n", NAMES[index], NAMES[*group]);
+            writeln!(
+                text,
+                "[service {}]\ngroup = {}",
+                NAMES[index], NAMES[*group]
+            )
+            .unwrap();
         }
         for (index, (service, idempotent, timeout)) in routes.iter().enumerate() {
             let idempotent = if *idempotent { "yes" } else { "no" };
             let service = NAMES[*service];
-            text += &format!(
+            write!(
+                text,
                 "[route r{index}]\npath = /p{index}\nservice = {service}\nclass = short\n\
                  idempotent = {idempotent}\ntimeout_ms = {timeout}\n"
-            );
+            )
+            .unwrap();
         }
         text
     })
