--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -10,7 +10,7 @@
 mod tally;
 mod tree;
 
-#[cfg(test)]
+#[cfg(all(test, feature = "standin"))]
 mod tests;
 
 pub(crate) use agent::{Agent, InForce, Sources};
