--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -1,7 +1,6 @@
 //! The registrar's work, done by the node that holds its data centre's lease: follow the rollout
 //! row, number roster changes, send the heartbeat, report to the platform, drive rolls.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -10,24 +9,21 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
-use crate::error::Error;
 use crate::node::core::{Core, Task};
 use crate::node::delivery;
 use crate::node::membership::{self, CALL_TIMEOUT};
-use crate::platform::{Holder, LEASE_PREFIX, Row, Transaction};
-use crate::rollout::{Driver, Head, ROLLOUT_KEY, Report, Rollout, Tally, position, report_key};
+use crate::node::source;
+use crate::platform::Holder;
+use crate::rollout::{Report, Tally, position};
 use crate::roster::{Change, Member, Registrar, Update};
 use crate::wire::{ControlClient as _, Exchange};
 
 const TICK: Duration = Duration::from_millis(50);
-const PREPARING_POLL: Duration = Duration::from_millis(50);
-const DIRECTORY_PERIOD: Duration = Duration::from_secs(2);
+const CONFIRMATION_PERIOD: Duration = Duration::from_secs(2);
 const UNSETTLED_BEAT: Duration = Duration::from_millis(200);
 const DELIVERY_BUDGET: Duration = Duration::from_secs(3);
 /// For how long after a new head members that did not answer are told again quickly.
 const REPEAT_TERM: Duration = Duration::from_secs(2);
-const TERMS_UNTIL_GONE: u32 = 2;
-const REPORT_RETRY_PAUSE: Duration = Duration::from_millis(200);
 const STANDBYS: usize = 2;
 const REFRESHES_UNTIL_STALE: u32 = 3;
 const STANDBY_SEED: u64 = 1;
@@ -107,78 +103,6 @@
     }
 }
 
-/// Reads the rollout row, and carries it out on this node first.
-async fn follow_rollout(core: Arc<Core>, holder: Holder) {
-    loop {
-        match core.platform.table.get(ROLLOUT_KEY).await {
-            Ok(Some(row)) => learn_rollout(&core, &row),
-            Ok(None) => {}
-            Err(_) => core.counters.count("platform_failures"),
-        }
-        if !core.agent.settled() {
-            catch_up(&core, &holder).await;
-        }
-        let preparing = core.agent.head().candidate.is_some();
-        let poll = core.settings.timing.poll;
-        tokio::time::sleep(if preparing {
-            PREPARING_POLL.min(poll)
-        } else {
-            poll
-        })
-        .await;
-    }
-}
-
-fn learn_rollout(core: &Core, row: &Row) {
-    match row.parse::<Rollout>() {
-        Ok(rollout) => {
-            core.agent.learn(&Head::new(&rollout, row.revision));
-        }
-        Err(error) => log::warn!("{error}"),
-    }
-}
-
-/// Fetches what the head names: from the object store if this node leads its region, else from
-/// the node that does, and from the store only if that fails.
-async fn catch_up(core: &Arc<Core>, holder: &Holder) {
-    let directory = core.directory();
-    let mut leads = directory
-        .iter()
-        .filter(|other| other.region == holder.region);
-    let lead = leads.next().filter(|lead| lead.node != holder.node);
-    let peers = lead.iter().map(|lead| lead.mesh).collect();
-    core.agent
-        .catch_up(&core.sources(peers, lead.is_none()))
-        .await;
-    if !core.agent.settled() {
-        core.agent.catch_up(&core.sources(Vec::new(), true)).await;
-    }
-}
-
-/// Keeps the list of all data centres' registrars. A row that is not renewed for long belongs to
-/// a data centre that is gone, and is left out.
-async fn list_registrars(core: Arc<Core>) {
-    let limit = core.settings.timing.lease_term * TERMS_UNTIL_GONE;
-    let mut renewed: HashMap<String, (u64, Instant)> = HashMap::new();
-    loop {
-        if let Ok(rows) = core.platform.table.scan(LEASE_PREFIX).await {
-            let mut holders = Vec::new();
-            for row in &rows {
-                let seen = renewed.entry(row.key.clone());
-                let seen = seen.or_insert((row.revision, Instant::now()));
-                if seen.0 != row.revision {
-                    *seen = (row.revision, Instant::now());
-                }
-                if seen.1.elapsed() < limit {
-                    holders.extend(row.parse::<Holder>());
-                }
-            }
-            core.set_directory(holders);
-        }
-        tokio::time::sleep(DIRECTORY_PERIOD).await;
-    }
-}
-
 /// Pulls from other registrars what their exchanges did not bring: every registrar from one in its
 /// region, the first of each region also from one in another region.
 async fn pull_from_registrars(core: Arc<Core>, holder: Holder) {
@@ -203,25 +127,6 @@
     }
 }
 
-/// Drives rolls while this registrar is the first in the directory.
-async fn drive(core: Arc<Core>, holder: Holder) {
-    let mut driver = Driver::new(core.platform.clone(), core.settings.timing.prepare_bound);
-    loop {
-        tokio::time::sleep(PREPARING_POLL).await;
-        let directory = core.directory();
-        let first = directory
-            .first()
-            .is_none_or(|first| first.node == holder.node);
-        if !first || core.agent.head().candidate.is_none() {
-            continue;
-        }
-        let centers: Vec<String> = directory.iter().map(|h| h.data_center.clone()).collect();
-        if let Err(error) = driver.step(&centers).await {
-            log::debug!("driving the roll: {error}");
-        }
-    }
-}
-
 struct Lead<'a> {
     core: &'a Arc<Core>,
     registrar: Registrar,
@@ -247,11 +152,11 @@
         let (tallies, answered) = mpsc::channel(64);
         let (reports, latest) = watch::channel(Report::default());
         let mut helpers = JoinSet::new();
-        helpers.spawn(follow_rollout(core.clone(), holder.clone()));
-        helpers.spawn(list_registrars(core.clone()));
+        helpers.spawn(source::follow_rollout(core.clone(), holder.clone()));
+        helpers.spawn(source::list_registrars(core.clone()));
+        helpers.spawn(source::drive(core.clone(), holder.clone()));
+        helpers.spawn(source::write_reports(core.clone(), latest));
         helpers.spawn(pull_from_registrars(core.clone(), holder.clone()));
-        helpers.spawn(drive(core.clone(), holder.clone()));
-        helpers.spawn(write_reports(core.clone(), latest));
         Self {
             core,
             registrar: Registrar::new(center, position, holder.epoch),
@@ -338,7 +243,7 @@
     }
 
     fn step(&mut self) {
-        if due(&mut self.listed, DIRECTORY_PERIOD) {
+        if due(&mut self.listed, CONFIRMATION_PERIOD) {
             self.check_unconfirmed();
         }
         self.flush();
@@ -465,29 +370,6 @@
     }
 }
 
-/// Writes the latest report to the platform whenever it has changed. Ends when the lead is gone.
-async fn write_reports(core: Arc<Core>, mut latest: watch::Receiver<Report>) {
-    while latest.changed().await.is_ok() {
-        loop {
-            let report = latest.borrow_and_update().clone();
-            let key = report_key(&report.data_center);
-            let written = match core.lease.guard(Transaction::default().put(&key, &report)) {
-                Ok(transaction) => core.platform.table.transact(&transaction).await.map(|_| ()),
-                Err(error) => Err(error),
-            };
-            if let Err(error) = &written {
-                log::debug!("report of {}: {error}", report.data_center);
-            }
-            match written {
-                Err(Error::Unavailable(_) | Error::State(_)) => {
-                    tokio::time::sleep(REPORT_RETRY_PAUSE).await;
-                }
-                _ => break,
-            }
-        }
-    }
-}
-
 /// Whether `period` has passed since `last`, which is then set to now.
 fn due(last: &mut Option<Instant>, period: Duration) -> bool {
     if last.is_some_and(|last| last.elapsed() < period) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod delivery;
 mod lead;
 mod membership;
+mod source;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- /dev/null
+++ b/src/rollout/archive.rs
@@ -0,0 +1,76 @@
+//! Where bundles and the rollout row are kept at the platform.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::bundle::Digest;
+use crate::error::{Error, Result};
+use crate::platform::Platform;
+use crate::rollout::ROLLOUT_KEY;
+use crate::rollout::shelf::{compress, decompress};
+use crate::rollout::state::Rollout;
+
+const MAX_TRIES: u32 = 8;
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Name of the object with a whole compressed bundle.
+pub(crate) fn object_name(digest: Digest) -> String {
+    format!("bundle-{digest}")
+}
+
+/// Name of the object with a bundle compressed against another one.
+pub(crate) fn delta_name(base: Digest, digest: Digest) -> String {
+    format!("delta-{base}-{digest}")
+}
+
+/// Stores the bundle whole and, if a version is in force, as a delta against that one.
+pub(super) async fn store(platform: &Platform, bytes: &Bytes, digest: Digest) -> Result<()> {
+    let objects = &platform.objects;
+    let whole = compress(bytes, None)?;
+    let name = object_name(digest);
+    retry(|| store_object(platform, &name, &whole)).await?;
+    let (rollout, _) = retry(|| read_rollout(platform)).await?;
+    let Some(base) = rollout.active.map(|active| active.digest) else {
+        return Ok(());
+    };
+    let base_name = object_name(base);
+    let Some(packed) = retry(|| objects.fetch(&base_name)).await? else {
+        return Ok(());
+    };
+    let delta = compress(bytes, Some(&decompress(&packed, None)?))?;
+    let name = delta_name(base, digest);
+    retry(|| store_object(platform, &name, &delta)).await
+}
+
+/// Stores an object; if the answer is lost, reads back whether it is there.
+async fn store_object(platform: &Platform, name: &str, bytes: &Bytes) -> Result<()> {
+    let objects = &platform.objects;
+    let Err(error) = objects.store(name, bytes.clone()).await else {
+        return Ok(());
+    };
+    match objects.fetch(name).await? {
+        Some(stored) if stored == *bytes => Ok(()),
+        _ => Err(error),
+    }
+}
+
+/// Reads the rollout row and its revision, 0 where there is none yet.
+pub(crate) async fn read_rollout(platform: &Platform) -> Result<(Rollout, u64)> {
+    match platform.table.get(ROLLOUT_KEY).await? {
+        Some(row) => Ok((row.parse()?, row.revision)),
+        None => Ok((Rollout::default(), 0)),
+    }
+}
+
+/// Repeats a read, or a write that is harmless to repeat, while the platform is unavailable.
+pub(super) async fn retry<T, F: Future<Output = Result<T>>>(call: impl Fn() -> F) -> Result<T> {
+    let mut tries = 1;
+    loop {
+        match call().await {
+            Err(Error::Unavailable(_)) if tries < MAX_TRIES => tries += 1,
+            outcome => return outcome,
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
--- a/src/rollout/driver.rs
+++ b/src/rollout/driver.rs
@@ -6,7 +6,7 @@
 use crate::bundle::Version;
 use crate::error::{Error, Result};
 use crate::platform::{Platform, Row, Transaction};
-use crate::rollout::operator::read_rollout;
+use crate::rollout::archive::read_rollout;
 use crate::rollout::state::{Draft, Phase};
 use crate::rollout::{REPORT_PREFIX, ROLLOUT_KEY, Report, Tally, bundle_key};
 
--- a/src/rollout/fetch.rs
+++ b/src/rollout/fetch.rs
@@ -15,7 +15,7 @@
 use crate::peers::REGION_HEADER;
 use crate::platform::Platform;
 use crate::rollout::Shelf;
-use crate::rollout::operator::{delta_name, object_name};
+use crate::rollout::archive::{delta_name, object_name};
 use crate::rollout::shelf::decompress;
 use crate::telemetry::Traffic;
 
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -2,6 +2,7 @@
 //! prepared version, and dissemination to the nodes.
 
 mod agent;
+mod archive;
 mod driver;
 mod fetch;
 mod operator;
--- a/src/rollout/operator.rs
+++ b/src/rollout/operator.rs
@@ -7,23 +7,14 @@
 use crate::bundle::{self, Bundle, Digest, Signer, Version};
 use crate::error::{Error, Result};
 use crate::platform::{Platform, Row, Transaction};
-use crate::rollout::shelf::{compress, decompress};
+use crate::rollout::archive::{self, object_name, read_rollout, retry};
+use crate::rollout::shelf::decompress;
 use crate::rollout::state::{Action, Candidate, Draft, LastAction, Phase, Release, Rollout};
 use crate::rollout::{REPORT_PREFIX, ROLLOUT_KEY, Report, bundle_key};
 
 const MAX_TRIES: u32 = 8;
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Name of the object with a whole compressed bundle.
-pub(crate) fn object_name(digest: Digest) -> String {
-    format!("bundle-{digest}")
-}
-
-/// Name of the object with a bundle compressed against another one.
-pub(crate) fn delta_name(base: Digest, digest: Digest) -> String {
-    format!("delta-{base}-{digest}")
-}
-
 /// What an operator sees of a roll.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
 pub struct Status {
@@ -87,7 +78,7 @@
     pub async fn push(&self, bundle: &Bundle, base: Option<Version>) -> Result<Version> {
         let bytes = Bytes::from(bundle::encode(bundle)?);
         let digest = Digest::of(&bytes);
-        self.store(&bytes, digest).await?;
+        archive::store(&self.platform, &bytes, digest).await?;
         self.act(|view| {
             check_base(&view.rollout, base)?;
             let draft = self.draft(&view.rollout, digest, bytes.len());
@@ -164,7 +155,7 @@
     pub async fn supersede(&self, bundle: &Bundle, signer: &Signer) -> Result<Version> {
         let bytes = Bytes::from(bundle::encode(bundle)?);
         let digest = Digest::of(&bytes);
-        self.store(&bytes, digest).await?;
+        archive::store(&self.platform, &bytes, digest).await?;
         self.act(|view| {
             let mut draft = self.draft(&view.rollout, digest, bytes.len());
             add_signature(&mut draft, signer);
@@ -206,37 +197,6 @@
         Ok(Status { rollout, reports })
     }
 
-    /// Stores the bundle whole and, if a version is in force, as a delta against that one.
-    async fn store(&self, bytes: &Bytes, digest: Digest) -> Result<()> {
-        let objects = &self.platform.objects;
-        let whole = compress(bytes, None)?;
-        let name = object_name(digest);
-        retry(|| self.store_object(&name, &whole)).await?;
-        let (rollout, _) = retry(|| read_rollout(&self.platform)).await?;
-        let Some(base) = rollout.active.map(|active| active.digest) else {
-            return Ok(());
-        };
-        let base_name = object_name(base);
-        let Some(packed) = retry(|| objects.fetch(&base_name)).await? else {
-            return Ok(());
-        };
-        let delta = compress(bytes, Some(&decompress(&packed, None)?))?;
-        let name = delta_name(base, digest);
-        retry(|| self.store_object(&name, &delta)).await
-    }
-
-    /// Stores an object; if the answer is lost, reads back whether it is there.
-    async fn store_object(&self, name: &str, bytes: &Bytes) -> Result<()> {
-        let objects = &self.platform.objects;
-        let Err(error) = objects.store(name, bytes.clone()).await else {
-            return Ok(());
-        };
-        match objects.fetch(name).await? {
-            Some(stored) if stored == *bytes => Ok(()),
-            _ => Err(error),
-        }
-    }
-
     fn draft(&self, rollout: &Rollout, digest: Digest, size: usize) -> Draft {
         let release = Release {
             version: rollout.highest.next(),
@@ -393,14 +353,6 @@
     }
 }
 
-/// Reads the rollout row and its revision, 0 where there is none yet.
-pub(crate) async fn read_rollout(platform: &Platform) -> Result<(Rollout, u64)> {
-    match platform.table.get(ROLLOUT_KEY).await? {
-        Some(row) => Ok((row.parse()?, row.revision)),
-        None => Ok((Rollout::default(), 0)),
-    }
-}
-
 fn replaced_candidate(before: &Rollout, after: &Rollout) -> Option<Version> {
     let version = |rollout: &Rollout| rollout.candidate.as_ref().map(|c| c.release.version);
     version(before).filter(|_| version(before) != version(after))
@@ -448,15 +400,3 @@
     let last = rollout.last.as_ref();
     last.map_or_else(|| "nobody acted yet".into(), ToString::to_string)
 }
-
-/// Repeats a read, or a write that is harmless to repeat, while the platform is unavailable.
-async fn retry<T, F: Future<Output = Result<T>>>(call: impl Fn() -> F) -> Result<T> {
-    let mut tries = 1;
-    loop {
-        match call().await {
-            Err(Error::Unavailable(_)) if tries < MAX_TRIES => tries += 1,
-            outcome => return outcome,
-        }
-        tokio::time::sleep(RETRY_PAUSE).await;
-    }
-}
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -8,7 +8,7 @@
 use crate::rollout::shelf::{compress, decompress};
 use crate::rollout::tree::{Span, position};
 use crate::rollout::{
-    Agent, Fetcher, Head, RefusedBy, Release, Report, Shelf, Sources, Tally, operator,
+    Agent, Fetcher, Head, RefusedBy, Release, Report, Shelf, Sources, Tally, archive,
 };
 use crate::standin::{Memory, sample_bundle};
 
@@ -72,7 +72,7 @@
     let packed = compress(&bytes, None).unwrap();
     let objects = memory.platform().objects;
     objects
-        .store(&operator::object_name(digest), packed)
+        .store(&archive::object_name(digest), packed)
         .await
         .unwrap();
     Release {
@@ -118,7 +118,7 @@
     let (memory, signer) = (Memory::new(), Signer::generate("alice"));
     let agent = agent(&memory, &signer);
     let release = release(&memory, 1, &signer).await;
-    let name = operator::object_name(release.digest);
+    let name = archive::object_name(release.digest);
     let objects = memory.platform().objects;
     let whole = objects.fetch(&name).await.unwrap().unwrap();
     for length in [0, 1, whole.len() / 2, whole.len() - 1] {
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -29,6 +29,8 @@
     Slow(Duration),
     /// Applies writes, then loses the answer.
     LoseAnswers,
+    /// Loses writes before they are applied, and answers reads.
+    LoseWrites,
 }
 
 #[derive(Default)]
@@ -90,7 +92,7 @@
                 tokio::time::sleep(delay).await;
                 Ok(())
             }
-            Fault::None | Fault::LoseAnswers => Ok(()),
+            Fault::None | Fault::LoseAnswers | Fault::LoseWrites => Ok(()),
         }
     }
 
@@ -152,6 +154,9 @@
     async fn transact(&self, transaction: &Transaction) -> Result<u64> {
         self.begin().await?;
         self.writes.fetch_add(1, Ordering::Relaxed);
+        if self.lock().fault == Fault::LoseWrites {
+            return Err(Error::Unavailable("the write was lost".into()));
+        }
         let revision = self.lock().apply(transaction)?;
         self.finish()?;
         Ok(revision)
@@ -176,7 +181,8 @@
 
 /// Serves a [`Memory`] over the platform's HTTP protocol.
 ///
-/// `PUT /fault` with `none`, `down`, `slow N` (milliseconds) or `lose-answers` injects a fault.
+/// `PUT /fault` with `none`, `down`, `slow N` (milliseconds), `lose-answers` or
+/// `lose-writes` injects a fault.
 pub struct PlatformServer {
     server: Server,
 }
@@ -270,6 +276,7 @@
         _ => match text.trim() {
             "down" => Fault::Down,
             "lose-answers" => Fault::LoseAnswers,
+            "lose-writes" => Fault::LoseWrites,
             _ => Fault::None,
         },
     }
