--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use bluebellgap::standin::{Layout, Mesh, sample_bundle};
 
 /// Time for anything that must happen; far above what it takes, so that a busy machine passes.
-pub const LIMIT: Duration = Duration::from_secs(30);
+pub const LIMIT: Duration = Duration::from_secs(15);
 /// Time for a whole case.
 pub const CASE_LIMIT: Duration = Duration::from_mins(2);
 
