--- a/src/bundle/read.rs
+++ b/src/bundle/read.rs
@@ -22,7 +22,7 @@
     /// assert_eq!(bundle.routes["book"].service, "booking");
     /// let dangling = text.replace("service = booking", "service = gone");
     /// let error = Bundle::read(&dangling).unwrap_err();
-    /// assert!(error.to_string().contains("line 9: [route book] service"));
+    /// assert!(error.to_string().contains("line 10: [route book] service"));
     /// ```
     ///
     /// # Errors
