--- a/src/bench/rollout.rs
+++ b/src/bench/rollout.rs
@@ -49,6 +49,18 @@
             idle.reads,
             idle.writes,
         );
+        for ((one, other), count) in &bytes.pairs {
+            println!(
+                "       {one} - {other}: {} control B/roll",
+                count / u64::from(ROLLS)
+            );
+        }
+        for (region, count) in &bytes.store_by_region {
+            println!(
+                "       store - {region}: {} bundle B/roll",
+                count / u64::from(ROLLS)
+            );
+        }
     }
     killed_holders().await?;
     departure().await
@@ -151,6 +163,10 @@
     total: u64,
     crossing: u64,
     store: u64,
+    /// Control bytes by the two regions of a pair, in name order.
+    pairs: BTreeMap<(String, String), u64>,
+    /// Bundle bytes from the object store by reading region.
+    store_by_region: BTreeMap<String, u64>,
 }
 
 impl Bytes {
@@ -159,6 +175,8 @@
             total: 0,
             crossing: 0,
             store: 0,
+            pairs: BTreeMap::new(),
+            store_by_region: BTreeMap::new(),
         };
         for (node, settings) in mesh.nodes.iter().zip(&mesh.settings) {
             let Some(node) = node else { continue };
@@ -166,9 +184,15 @@
             bytes.total += by_region.values().sum::<u64>();
             let foreign = by_region
                 .iter()
-                .filter(|(region, _)| **region != settings.region);
-            bytes.crossing += foreign.map(|(_, bytes)| bytes).sum::<u64>();
+                .filter(|(region, _)| !region.is_empty() && **region != settings.region);
+            for (region, count) in foreign {
+                let (one, other) = (region.min(&settings.region), region.max(&settings.region));
+                *bytes.pairs.entry((one.clone(), other.clone())).or_default() += count;
+            }
+            bytes.crossing = bytes.pairs.values().sum();
             bytes.store += node.store_bytes();
+            let read = bytes.store_by_region.entry(settings.region.clone());
+            *read.or_default() += node.store_bytes();
         }
         bytes
     }
@@ -178,10 +202,23 @@
             total: self.total - before.total,
             crossing: self.crossing - before.crossing,
             store: self.store - before.store,
+            pairs: difference(&self.pairs, &before.pairs),
+            store_by_region: difference(&self.store_by_region, &before.store_by_region),
         }
     }
 }
 
+fn difference<K: Ord + Clone>(
+    after: &BTreeMap<K, u64>,
+    before: &BTreeMap<K, u64>,
+) -> BTreeMap<K, u64> {
+    let since = |key: &K, count: &u64| count - before.get(key).unwrap_or(&0);
+    let entries = after.iter();
+    entries
+        .map(|(key, count)| (key.clone(), since(key, count)))
+        .collect()
+}
+
 /// A quantile of sorted times; `percent` is 0 to 100.
 fn quantile(sorted: &[Duration], percent: usize) -> Duration {
     sorted[(sorted.len() - 1) * percent / 100]
