Say each thing once: phases of versions, missing sections, callers of a bench

Cause: reading the whole change again. The driver and the operator each set another version's phase; a change carried a list of drafts that always held one; the retry constants, an empty section and the choice of a bench's callers stood two or three times; the stand-in target kept a flag that nothing read. Change: archive::set_phase, Section::parse, fixture::callers; one draft per change.

--- a/src/bench/crest.rs
+++ b/src/bench/crest.rs
@@ -26,11 +26,7 @@
     for multiple in MULTIPLES {
         for direct in [true, false] {
             let mesh = fixture::six_targets(SLOTS, SERVICE_TIME).await?;
-            let callers = if direct {
-                fixture::direct_callers(&mesh)
-            } else {
-                fixture::callers(&mesh)
-            };
+            let callers = fixture::callers(&mesh, direct);
             let load = Load {
                 callers,
                 kinds: vec![kind("/read", false, 0.8), kind("/book", true, 0.2)],
--- a/src/bench/fixture.rs
+++ b/src/bench/fixture.rs
@@ -27,15 +27,11 @@
     Ok(mesh)
 }
 
-/// One caller per node.
-pub(super) fn callers(mesh: &Mesh) -> Vec<Caller> {
-    (0..mesh.nodes.len())
-        .map(|index| mesh.caller(index))
-        .collect()
-}
-
-/// One caller per target, past the nodes.
-pub(super) fn direct_callers(mesh: &Mesh) -> Vec<Caller> {
+/// One caller per node; if `direct`, one per target instead, past the nodes.
+pub(super) fn callers(mesh: &Mesh, direct: bool) -> Vec<Caller> {
+    if !direct {
+        return (0..mesh.nodes.len()).map(|i| mesh.caller(i)).collect();
+    }
     let targets = mesh.targets.iter().flatten();
     targets
         .map(|target| Caller::new(target.address()))
--- a/src/bench/mixed.rs
+++ b/src/bench/mixed.rs
@@ -29,11 +29,7 @@
         let rate = OFFERED_SHARE * slots / mean;
         for direct in [true, false] {
             let mesh = fixture::six_targets(SLOTS, SERVICE_TIME).await?;
-            let callers = if direct {
-                fixture::direct_callers(&mesh)
-            } else {
-                fixture::callers(&mesh)
-            };
+            let callers = fixture::callers(&mesh, direct);
             let kind = |path: &str, share| Kind {
                 path: path.into(),
                 keyed: false,
--- a/src/bench/slow.rs
+++ b/src/bench/slow.rs
@@ -24,11 +24,7 @@
     for slowed in [0, 1, 2] {
         for direct in [true, false] {
             let mesh = fixture::six_targets(SLOTS, SERVICE_TIME).await?;
-            let callers = if direct {
-                fixture::direct_callers(&mesh)
-            } else {
-                fixture::callers(&mesh)
-            };
+            let callers = fixture::callers(&mesh, direct);
             let mut load = Load {
                 callers,
                 kinds: vec![Kind {
--- a/src/bundle/read.rs
+++ b/src/bundle/read.rs
@@ -36,16 +36,7 @@
             bundle.take(section, &mut faults);
         }
         if bundle.name.is_empty() && !document.sections.iter().any(|s| s.kind == "bundle") {
-            faults.add(
-                &Section {
-                    kind: "bundle".into(),
-                    name: String::new(),
-                    line: 1,
-                    entries: Vec::new(),
-                },
-                "name",
-                "is required",
-            );
+            faults.add(&Section::parse("bundle", 1), "name", "is required");
         }
         bundle.check(&document, &mut faults);
         faults.into_result(|| bundle)
--- a/src/ini.rs
+++ b/src/ini.rs
@@ -76,7 +76,8 @@
 }
 
 impl Section {
-    fn parse(header: &str, line: u32) -> Self {
+    /// Reads the header of a section that has no entries yet.
+    pub(crate) fn parse(header: &str, line: u32) -> Self {
         let (kind, name) = header.trim().split_once(' ').unwrap_or((header.trim(), ""));
         Self {
             kind: kind.to_owned(),
--- a/src/rollout/archive.rs
+++ b/src/rollout/archive.rs
@@ -4,15 +4,17 @@
 
 use bytes::Bytes;
 
-use crate::bundle::Digest;
+use crate::bundle::{Digest, Version};
 use crate::error::{Error, Result};
-use crate::platform::Platform;
-use crate::rollout::ROLLOUT_KEY;
+use crate::platform::{Platform, Transaction};
 use crate::rollout::shelf::{compress, decompress};
-use crate::rollout::state::Rollout;
+use crate::rollout::state::{Draft, Phase, Rollout};
+use crate::rollout::{ROLLOUT_KEY, bundle_key};
 
-const MAX_TRIES: u32 = 8;
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Tries of one action at the platform.
+pub(super) const MAX_TRIES: u32 = 8;
+/// Time between two tries.
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// Name of the object with a whole compressed bundle.
 pub(crate) fn object_name(digest: Digest) -> String {
@@ -63,6 +65,22 @@
     }
 }
 
+/// Adds the change of one version's phase to a transaction; a version without a row is left out.
+pub(super) async fn set_phase(
+    platform: &Platform,
+    transaction: Transaction,
+    version: Version,
+    phase: Phase,
+) -> Result<Transaction> {
+    let key = bundle_key(version);
+    let Some(row) = platform.table.get(&key).await? else {
+        return Ok(transaction);
+    };
+    let mut draft: Draft = row.parse()?;
+    draft.phase = phase;
+    Ok(transaction.require(&key, row.revision).put(&key, &draft))
+}
+
 /// Repeats a read, or a write that is harmless to repeat, while the platform is unavailable.
 pub(super) async fn retry<T, F: Future<Output = Result<T>>>(call: impl Fn() -> F) -> Result<T> {
     let mut tries = 1;
--- a/src/rollout/driver.rs
+++ b/src/rollout/driver.rs
@@ -6,9 +6,9 @@
 use crate::bundle::Version;
 use crate::error::{Error, Result};
 use crate::platform::{Platform, Row, Transaction};
-use crate::rollout::archive::read_rollout;
-use crate::rollout::state::{Draft, Phase};
-use crate::rollout::{REPORT_PREFIX, ROLLOUT_KEY, Report, Tally, bundle_key};
+use crate::rollout::archive::{read_rollout, set_phase};
+use crate::rollout::state::Phase;
+use crate::rollout::{REPORT_PREFIX, ROLLOUT_KEY, Report, Tally};
 
 /// Key of a data centre's report row.
 pub(crate) fn report_key(data_center: &str) -> String {
@@ -78,7 +78,7 @@
             .put(ROLLOUT_KEY, &rollout);
         let previous = previous.map(|release| (release.version, Phase::Superseded));
         for (version, phase) in previous.into_iter().chain([(version, Phase::Accepted)]) {
-            transaction = self.set_phase(transaction, version, phase).await?;
+            transaction = set_phase(&self.platform, transaction, version, phase).await?;
         }
         match self.platform.table.transact(&transaction).await {
             Ok(_) => {
@@ -89,21 +89,6 @@
             Err(error) => Err(error),
         }
     }
-
-    async fn set_phase(
-        &self,
-        transaction: Transaction,
-        version: Version,
-        phase: Phase,
-    ) -> Result<Transaction> {
-        let key = bundle_key(version);
-        let Some(row) = self.platform.table.get(&key).await? else {
-            return Ok(transaction);
-        };
-        let mut draft: Draft = row.parse()?;
-        draft.phase = phase;
-        Ok(transaction.require(&key, row.revision).put(&key, &draft))
-    }
 }
 
 /// Decides on a candidate from the reports made for the rollout row at `revision`.
--- a/src/rollout/operator.rs
+++ b/src/rollout/operator.rs
@@ -1,20 +1,17 @@
 //! Operators' actions on the rollout. Each is one conditional write of the rollout row.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 
 use crate::bundle::{self, Bundle, Digest, Signer, Version};
 use crate::error::{Error, Result};
 use crate::platform::{Platform, Row, Transaction};
-use crate::rollout::archive::{self, object_name, read_rollout, retry};
+use crate::rollout::archive::{
+    self, MAX_TRIES, RETRY_PAUSE, object_name, read_rollout, retry, set_phase,
+};
 use crate::rollout::shelf::decompress;
 use crate::rollout::state::{Action, Candidate, Draft, LastAction, Phase, Release, Rollout};
 use crate::rollout::{REPORT_PREFIX, ROLLOUT_KEY, Report, bundle_key};
 
-const MAX_TRIES: u32 = 8;
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
-
 /// What an operator sees of a roll.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
 pub struct Status {
@@ -56,8 +53,7 @@
 /// What an action wants written.
 struct Change {
     rollout: Rollout,
-    drafts: Vec<Draft>,
-    version: Version,
+    draft: Draft,
 }
 
 impl Operator {
@@ -82,12 +78,7 @@
         self.act(|view| {
             check_base(&view.rollout, base)?;
             let draft = self.draft(&view.rollout, digest, bytes.len());
-            Ok(self.change(
-                &view.rollout,
-                Action::Push,
-                draft.release.version,
-                vec![draft],
-            ))
+            Ok(self.change(&view.rollout, Action::Push, draft))
         })
         .await
     }
@@ -103,8 +94,7 @@
             draft.phase = Phase::Signed;
             Ok(Change {
                 rollout: view.rollout.clone(),
-                drafts: vec![draft],
-                version,
+                draft,
             })
         })
         .await
@@ -121,7 +111,7 @@
             check_free(&view.rollout)?;
             check_base(&view.rollout, Some(draft.base))?;
             add_signature(&mut draft, signer);
-            Ok(self.start(&view.rollout, Action::Approve, draft, Vec::new()))
+            Ok(self.start(&view.rollout, Action::Approve, draft))
         })
         .await
     }
@@ -142,7 +132,7 @@
                 .candidate
                 .take_if(|candidate| candidate.release.version == version);
             draft.phase = Phase::Stopped;
-            Ok(self.change(&rollout, Action::Stop, version, vec![draft]))
+            Ok(self.change(&rollout, Action::Stop, draft))
         })
         .await
     }
@@ -159,7 +149,7 @@
         self.act(|view| {
             let mut draft = self.draft(&view.rollout, digest, bytes.len());
             add_signature(&mut draft, signer);
-            Ok(self.start(&view.rollout, Action::Supersede, draft, Vec::new()))
+            Ok(self.start(&view.rollout, Action::Supersede, draft))
         })
         .await
     }
@@ -213,13 +203,8 @@
         }
     }
 
-    fn change(
-        &self,
-        rollout: &Rollout,
-        action: Action,
-        version: Version,
-        drafts: Vec<Draft>,
-    ) -> Change {
+    fn change(&self, rollout: &Rollout, action: Action, draft: Draft) -> Change {
+        let version = draft.release.version;
         let mut rollout = rollout.clone();
         rollout.highest = rollout.highest.max(version);
         rollout.last = Some(LastAction {
@@ -227,29 +212,17 @@
             action,
             version,
         });
-        Change {
-            rollout,
-            drafts,
-            version,
-        }
+        Change { rollout, draft }
     }
 
-    fn start(
-        &self,
-        rollout: &Rollout,
-        action: Action,
-        mut draft: Draft,
-        mut drafts: Vec<Draft>,
-    ) -> Change {
-        let version = draft.release.version;
+    fn start(&self, rollout: &Rollout, action: Action, mut draft: Draft) -> Change {
         let mut rollout = rollout.clone();
         rollout.candidate = Some(Candidate {
             release: draft.release.clone(),
             approved_by: self.name.clone(),
         });
         draft.phase = Phase::Preparing;
-        drafts.push(draft);
-        self.change(&rollout, action, version, drafts)
+        self.change(&rollout, action, draft)
     }
 
     async fn act_on(
@@ -286,9 +259,10 @@
                 return Ok(attempted.unwrap_or_default());
             }
             let change = decide(&view)?;
-            attempted = Some(change.version);
+            let target = change.draft.release.version;
+            attempted = Some(target);
             match self.write(&view, &change, operation).await {
-                Ok(()) => return Ok(change.version),
+                Ok(()) => return Ok(target),
                 Err(Error::Conflict(_)) => {}
                 Err(Error::Unavailable(_)) => tokio::time::sleep(RETRY_PAUSE).await,
                 Err(error) => return Err(error),
@@ -300,44 +274,29 @@
     }
 
     async fn write(&self, view: &View, change: &Change, operation: u64) -> Result<()> {
+        let mut draft = change.draft.clone();
+        draft.operations.push(operation);
+        let version = draft.release.version;
+        let key = bundle_key(version);
+        let known = view.draft.as_ref().map(|d| d.release.version);
+        let revision = if known == Some(version) {
+            view.draft_revision
+        } else {
+            0
+        };
         let mut transaction = Transaction::default()
             .require(ROLLOUT_KEY, view.rollout_revision)
-            .put(ROLLOUT_KEY, &change.rollout);
-        for draft in &change.drafts {
-            let mut draft = draft.clone();
-            draft.operations.push(operation);
-            let key = bundle_key(draft.release.version);
-            let known = view.draft.as_ref().map(|d| d.release.version);
-            let same = known == Some(draft.release.version);
-            transaction = transaction
-                .require(&key, if same { view.draft_revision } else { 0 })
-                .put(&key, &draft);
-        }
-        if let Some(replaced) = replaced_candidate(&view.rollout, &change.rollout) {
-            transaction = self.retire(transaction, change, replaced).await?;
+            .put(ROLLOUT_KEY, &change.rollout)
+            .require(&key, revision)
+            .put(&key, &draft);
+        let replaced = replaced_candidate(&view.rollout, &change.rollout);
+        if let Some(replaced) = replaced.filter(|replaced| *replaced != version) {
+            let phase = Phase::Superseded;
+            transaction = set_phase(&self.platform, transaction, replaced, phase).await?;
         }
         self.platform.table.transact(&transaction).await.map(|_| ())
     }
 
-    /// Marks the candidate that another version replaces as superseded.
-    async fn retire(
-        &self,
-        transaction: Transaction,
-        change: &Change,
-        replaced: Version,
-    ) -> Result<Transaction> {
-        if change.drafts.iter().any(|d| d.release.version == replaced) {
-            return Ok(transaction);
-        }
-        let key = bundle_key(replaced);
-        let Some(row) = self.platform.table.get(&key).await? else {
-            return Ok(transaction);
-        };
-        let mut draft: Draft = row.parse()?;
-        draft.phase = Phase::Superseded;
-        Ok(transaction.require(&key, row.revision).put(&key, &draft))
-    }
-
     async fn view(&self, version: Option<Version>) -> Result<View> {
         let (rollout, rollout_revision) = read_rollout(&self.platform).await?;
         let row = match version {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -227,12 +227,7 @@
     faults: &mut Faults,
     read: impl FnOnce(&mut Reader) -> T,
 ) -> T {
-    let missing = Section {
-        kind: kind.to_owned(),
-        name: String::new(),
-        line: 1,
-        entries: Vec::new(),
-    };
+    let missing = Section::parse(kind, 1);
     let section = document.of_kind(kind).next().unwrap_or(&missing);
     let mut reader = Reader::new(section, faults);
     let value = read(&mut reader);
@@ -271,12 +266,7 @@
             faults.add(section, "-", message);
         }
     } else {
-        let missing = Section {
-            kind: "operators".into(),
-            name: String::new(),
-            line: 1,
-            entries: Vec::new(),
-        };
+        let missing = Section::parse("operators", 1);
         faults.add(
             &missing,
             "-",
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -50,7 +50,6 @@
     served: AtomicU64,
     shed: AtomicU64,
     runs_by_key: Mutex<HashMap<String, u32>>,
-    crashed: AtomicBool,
     crashes: tokio::sync::watch::Sender<u32>,
 }
 
@@ -77,7 +76,6 @@
             served: AtomicU64::new(0),
             shed: AtomicU64::new(0),
             runs_by_key: Mutex::new(HashMap::new()),
-            crashed: AtomicBool::new(false),
             crashes: tokio::sync::watch::Sender::new(0),
         });
         let handler = Arc::new(Endpoint {
@@ -205,7 +203,6 @@
         tokio::time::sleep(time).await;
     }
     if query.contains(CRASH_MARK) {
-        shared.crashed.store(true, Ordering::Relaxed);
         shared.crashes.send_modify(|crashes| *crashes += 1);
         return std::future::pending().await;
     }
