--- a/src/bin/bluebellgap/app.rs
+++ b/src/bin/bluebellgap/app.rs
@@ -1,22 +1,28 @@
 //! Carries out commands.
 
 use eyre::Result;
-use tokio::runtime::Runtime;
+use tokio::runtime::{Builder, Runtime};
 
 use crate::cli::{BundleCommand, Command, SettingsCommand};
-use crate::{node, operator};
+use crate::{node, operator, sidecar};
 
 /// Runs one command to its end.
 pub(crate) fn run(command: Command) -> Result<()> {
-    let runtime = Runtime::new()?;
+    let runtime = match &command {
+        // A sidecar has a share of one core; more threads would only take turns.
+        Command::Sidecar { .. } => Builder::new_current_thread().enable_all().build()?,
+        _ => Runtime::new()?,
+    };
     runtime.block_on(dispatch(command))
 }
 
 async fn dispatch(command: Command) -> Result<()> {
     match command {
         Command::Node { settings } => node::run(&settings).await,
+        Command::Sidecar { settings } => sidecar::run(&settings).await,
         Command::Keygen { out, operator } => operator::keygen(&operator, &out),
         Command::Settings(SettingsCommand::Check { file }) => node::check_settings(&file),
+        Command::Settings(SettingsCommand::CheckSidecar { file }) => sidecar::check(&file),
         Command::Bundle(BundleCommand::Check { format, file }) => operator::check(&file, format),
         Command::Bundle(BundleCommand::Push {
             platform,
--- a/src/bin/bluebellgap/cli.rs
+++ b/src/bin/bluebellgap/cli.rs
@@ -74,6 +74,13 @@
         #[bpaf(long, argument("FILE"))]
         settings: PathBuf,
     },
+    /// Run a node that takes versions, targets and other nodes from the platform
+    #[bpaf(command)]
+    Sidecar {
+        /// INI file with the node's settings; read again when it changes
+        #[bpaf(long, env("BLUEBELLGAP_NODE_FILE"), argument("FILE"))]
+        settings: PathBuf,
+    },
     /// Make an operator's key pair
     #[bpaf(command)]
     Keygen {
@@ -222,6 +229,13 @@
 /// Actions on settings.
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) enum SettingsCommand {
+    /// Check a sidecar's settings file
+    #[bpaf(command)]
+    CheckSidecar {
+        /// INI file with the settings
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
     /// Check a settings file
     #[bpaf(command)]
     Check {
--- a/src/bin/bluebellgap/main.rs
+++ b/src/bin/bluebellgap/main.rs
@@ -6,6 +6,7 @@
 mod node;
 mod operator;
 mod output;
+mod sidecar;
 #[cfg(feature = "standin")]
 mod standin;
 
@@ -27,7 +28,11 @@
 }
 
 /// Nodes log changes of state; other commands only what went wrong. `RUST_LOG` overrides both.
+/// Sidecars write structured lines to standard output.
 fn start_logging(command: &cli::Command) {
+    if matches!(command, cli::Command::Sidecar { .. }) {
+        return bluebellgap::telemetry::lines::start();
+    }
     let node = matches!(command, cli::Command::Node { .. });
     let level = if node { "info" } else { "error" };
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(level)).init();
--- a/src/bin/bluebellgap/node.rs
+++ b/src/bin/bluebellgap/node.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use bluebellgap::platform::Client;
+use bluebellgap::store::Client;
 use bluebellgap::{Node, Settings};
 use eyre::{Result, WrapErr, eyre};
 use tokio::signal::unix::{SignalKind, signal};
--- a/src/bin/bluebellgap/operator.rs
+++ b/src/bin/bluebellgap/operator.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use bluebellgap::bundle::{self, Bundle, Digest, Signer, Version};
-use bluebellgap::platform::Client;
 use bluebellgap::rollout::{Operator, Phase, Status};
+use bluebellgap::store::Client;
 use eyre::{Result, WrapErr};
 
 use crate::cli::{Content, Format, Identity};
--- a/src/bundle/mod.rs
+++ b/src/bundle/mod.rs
@@ -6,7 +6,9 @@
 mod sign;
 
 pub use codec::{Digest, MAX_BUNDLE_BYTES, decode, encode};
-pub use model::{Bundle, Class, ClassKind, Group, Route, Service, Tenant};
+pub use model::{
+    Bundle, Class, ClassKind, DEFAULT_ATTEMPTS, Group, Intake, Route, Service, Tenant,
+};
 pub use sign::{Key, Signature, Signer, Trust};
 
 /// Number of a signed-off bundle; versions only grow.
--- a/src/bundle/model.rs
+++ b/src/bundle/model.rs
@@ -20,6 +20,40 @@
     pub services: BTreeMap<String, Service>,
     /// Routes by name.
     pub routes: BTreeMap<String, Route>,
+    /// Bounds on what callers may send.
+    #[serde(default, skip_serializing_if = "Intake::is_default")]
+    pub intake: Intake,
+}
+
+/// Bounds on what a caller may send, and how long it may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Intake {
+    /// Largest request head, in bytes.
+    pub header_bytes: usize,
+    /// Largest request body, in bytes.
+    pub body_bytes: usize,
+    /// Time for a whole request head to arrive, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// Time after which an idle connection is closed, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for Intake {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            header_timeout_ms: 10_000,
+            idle_timeout_ms: 60_000,
+        }
+    }
+}
+
+impl Intake {
+    fn is_default(&self) -> bool {
+        *self == Self::default()
+    }
 }
 
 /// A customer whose requests share the targets with others.
@@ -98,4 +132,36 @@
     pub idempotent: bool,
     /// Time in which the whole answer must have begun, in milliseconds.
     pub timeout_ms: u64,
+    /// Services that share the requests, by weight; empty where `service` takes them all.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub split: BTreeMap<String, u32>,
+    /// Targets that one request may be sent to at most.
+    #[serde(
+        default = "default_attempts",
+        skip_serializing_if = "is_default_attempts"
+    )]
+    pub attempts: u32,
+    /// Latency objective in milliseconds; the timeout where absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub objective_ms: Option<u64>,
+    /// Rank in the queue of a busy target; 0 is served first.
+    #[serde(default, skip_serializing_if = "is_first_rank")]
+    pub rank: u32,
+}
+
+/// Attempts of a route that sets none.
+pub const DEFAULT_ATTEMPTS: u32 = 4;
+
+fn default_attempts() -> u32 {
+    DEFAULT_ATTEMPTS
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+fn is_default_attempts(attempts: &u32) -> bool {
+    *attempts == DEFAULT_ATTEMPTS
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+fn is_first_rank(rank: &u32) -> bool {
+    *rank == 0
 }
--- a/src/bundle/read.rs
+++ b/src/bundle/read.rs
@@ -1,6 +1,10 @@
 //! Reads a bundle from its INI source and checks that it is closed.
 
-use crate::bundle::model::{Bundle, Class, ClassKind, Group, Route, Service, Tenant};
+use std::collections::BTreeMap;
+
+use crate::bundle::model::{
+    Bundle, Class, ClassKind, DEFAULT_ATTEMPTS, Group, Route, Service, Tenant,
+};
 use crate::error::Result;
 use crate::ini::{Document, Faults, Reader, Section};
 
@@ -90,6 +94,15 @@
             let message = format!("no [service {}] in this bundle", route.service);
             faults.add(section, "service", message);
         }
+        for part in route.split.keys() {
+            if !self.services.contains_key(part) {
+                faults.add(
+                    section,
+                    "split",
+                    format!("no [service {part}] in this bundle"),
+                );
+            }
+        }
         if !route.class.is_empty() && !self.classes.contains_key(&route.class) {
             let message = format!("no [class {}] in this bundle", route.class);
             faults.add(section, "class", message);
@@ -118,6 +131,13 @@
             if !self.services.contains_key(&route.service) {
                 return Err(format!("route {name}: no service {}", route.service));
             }
+            if let Some(part) = route
+                .split
+                .keys()
+                .find(|part| !self.services.contains_key(*part))
+            {
+                return Err(format!("route {name}: no service {part}"));
+            }
             if !self.classes.contains_key(&route.class) {
                 return Err(format!("route {name}: no class {}", route.class));
             }
@@ -180,5 +200,39 @@
         class: reader.required("class"),
         idempotent: reader.flag("idempotent", false),
         timeout_ms: reader.number("timeout_ms", 1..=MAX_TIMEOUT_MS, DEFAULT_TIMEOUT_MS),
+        split: read_split(reader),
+        attempts: small(reader.number("attempts", 1..=16, DEFAULT_ATTEMPTS.into())),
+        objective_ms: reader.parsed("objective_ms", "milliseconds"),
+        rank: small(reader.number("rank", 0..=100, 0)),
+    }
+}
+
+fn small(number: u64) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
+/// Reads `service weight, service weight`.
+fn read_split(reader: &mut Reader) -> BTreeMap<String, u32> {
+    let mut split = BTreeMap::new();
+    let text = reader.text("split").unwrap_or_default();
+    for part in text
+        .split(',')
+        .map(str::trim)
+        .filter(|part| !part.is_empty())
+    {
+        let weight = part.split_once(' ').and_then(|(service, weight)| {
+            let weight = weight.trim().parse::<u32>().ok().filter(|w| *w > 0)?;
+            Some((service.to_owned(), weight))
+        });
+        match weight {
+            Some((service, weight)) => {
+                split.insert(service, weight);
+            }
+            None => reader.reject(
+                "split",
+                format!("'{part}' found, expected 'service weight'"),
+            ),
+        }
     }
+    split
 }
--- a/src/claim/journal.rs
+++ b/src/claim/journal.rs
@@ -8,7 +8,7 @@
 use crate::claim::RETENTION;
 use crate::claim::owner::owner_key;
 use crate::error::{Error, Result};
-use crate::platform::{Row, Table, Transaction};
+use crate::store::{Row, Table, Transaction};
 use crate::wire::{Claim, Settlement};
 
 const WRITE_TRIES: u32 = 3;
--- a/src/claim/mod.rs
+++ b/src/claim/mod.rs
@@ -16,7 +16,7 @@
 use crate::claim::owner::Assignments;
 use crate::claim::shard::Shard;
 use crate::node::Core;
-use crate::platform::Table;
+use crate::store::Table;
 use crate::wire::{Claim, ControlClient as _, Grant, Owner, OwnerQuery, Settlement};
 
 /// Number of claim shards; part of the meaning of the stored claims.
--- a/src/claim/owner.rs
+++ b/src/claim/owner.rs
@@ -10,9 +10,9 @@
 use crate::claim::Cached;
 use crate::error::Result;
 use crate::node::Core;
-use crate::platform::{Table, Transaction};
 use crate::rollout::position;
 use crate::roster::{Member, Presence};
+use crate::store::{Table, Transaction};
 use crate::wire::{ControlClient as _, Owner, OwnerQuery};
 
 const CACHE_TERM: Duration = Duration::from_secs(5);
--- a/src/claim/shard.rs
+++ b/src/claim/shard.rs
@@ -10,7 +10,7 @@
 use crate::claim::RETENTION;
 use crate::claim::journal::{Entry, Journal};
 use crate::error::{Error, Result};
-use crate::platform::Table;
+use crate::store::Table;
 use crate::wire::{Claim, Grant, Outcome, Recorded, Settlement};
 
 const MAX_BATCH: usize = 512;
--- /dev/null
+++ b/src/directory/book.rs
@@ -0,0 +1,250 @@
+//! All entries that the node knows.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+
+use crate::directory::endpoint::{Endpoint, Record};
+use crate::link::{Entry, Link, News, Service};
+use crate::roster::Presence;
+
+/// Time for which the end of a node is remembered, so that a late message cannot bring it back.
+const DEPARTED_TERM: Duration = Duration::from_secs(60);
+
+/// Where the node stands.
+#[derive(Clone, Debug)]
+pub(crate) struct Place {
+    /// Name of the node.
+    pub node: String,
+    /// Region.
+    pub region: String,
+    /// Data centre.
+    pub data_center: String,
+}
+
+/// How far away the targets of a place are until it is measured, and how much a nearer one is
+/// preferred beyond that, for the price of traffic.
+struct Distance {
+    round_trip: Duration,
+    preference: Duration,
+}
+
+const SAME_NODE: Distance = Distance {
+    round_trip: Duration::ZERO,
+    preference: Duration::ZERO,
+};
+const SAME_CENTER: Distance = Distance {
+    round_trip: Duration::from_micros(500),
+    preference: Duration::ZERO,
+};
+const SAME_REGION: Distance = Distance {
+    round_trip: Duration::from_millis(3),
+    preference: Duration::from_millis(20),
+};
+const OTHER_REGION: Distance = Distance {
+    round_trip: Duration::from_millis(60),
+    preference: Duration::from_millis(40),
+};
+
+#[derive(Default)]
+struct State {
+    endpoints: BTreeMap<String, Arc<Endpoint>>,
+    links: HashMap<std::net::SocketAddr, Arc<Link>>,
+    /// Incarnations that ended, by node.
+    departed: HashMap<String, (u64, Instant)>,
+}
+
+type ByService = HashMap<String, Vec<Arc<Endpoint>>>;
+
+/// The node's knowledge of all nodes and their targets.
+pub(crate) struct Directory {
+    place: Place,
+    service: OnceLock<Arc<dyn Service>>,
+    state: Mutex<State>,
+    by_service: ArcSwap<ByService>,
+}
+
+impl Directory {
+    pub(crate) fn new(place: Place) -> Self {
+        Self {
+            place,
+            service: OnceLock::new(),
+            state: Mutex::default(),
+            by_service: ArcSwap::default(),
+        }
+    }
+
+    /// Gives the service that links to other nodes speak for. Entries are taken from then on.
+    pub(crate) fn connect(&self, service: Arc<dyn Service>) {
+        let _ = self.service.set(service);
+    }
+
+    /// Takes entries; returns those that are newer than what was known.
+    pub(crate) fn learn(&self, entries: Vec<Entry>) -> Vec<Entry> {
+        let Some(service) = self.service.get() else {
+            return Vec::new();
+        };
+        let mut state = self.lock();
+        let mut fresh = Vec::new();
+        for entry in entries {
+            if self.take(&mut state, service, entry.clone()) {
+                fresh.push(entry);
+            }
+        }
+        if !fresh.is_empty() {
+            self.publish(&state);
+        }
+        fresh
+    }
+
+    fn take(&self, state: &mut State, service: &Arc<dyn Service>, entry: Entry) -> bool {
+        let ended = state.departed.get(&entry.node);
+        if ended.is_some_and(|(incarnation, _)| entry.incarnation <= *incarnation) {
+            return false;
+        }
+        let known = state.endpoints.get(&entry.node);
+        if known.is_some_and(|known| !entry.is_newer_than(&known.entry)) {
+            return false;
+        }
+        let own = entry.node == self.place.node;
+        let link = (!own).then(|| {
+            let link = state.links.entry(entry.address);
+            link.or_insert_with(|| Arc::new(Link::new(entry.address, service.clone())))
+                .clone()
+        });
+        let same_target = |known: &&Arc<Endpoint>| {
+            let ids = |e: &Entry| e.target.as_ref().map(|t| (t.id.clone(), t.started_ms));
+            ids(&known.entry) == ids(&entry)
+        };
+        let kept = state.endpoints.get(&entry.node).filter(same_target);
+        let record = kept.map_or_else(Record::new, |known| known.record.clone());
+        let since = kept.map_or_else(Instant::now, |known| known.since);
+        let distance = self.distance(&entry);
+        if !own {
+            log::info!(
+                event = "entry",
+                node = entry.node.as_str(),
+                incarnation = entry.incarnation,
+                revision = entry.revision,
+                presence = entry.presence.to_string().as_str(),
+                target_id = entry.target.as_ref().map_or("", |t| t.id.as_str());
+                ""
+            );
+        }
+        let node = entry.node.clone();
+        let endpoint = Endpoint {
+            entry,
+            link,
+            since,
+            record,
+            distance: distance.round_trip,
+            preference: distance.preference,
+        };
+        state.endpoints.insert(node, Arc::new(endpoint));
+        true
+    }
+
+    /// Forgets a node whose process has ended for good.
+    pub(crate) fn forget(&self, node: &str, incarnation: u64) {
+        let mut state = self.lock();
+        let known = state.endpoints.get(node);
+        if known.is_none_or(|known| known.entry.incarnation > incarnation) {
+            return;
+        }
+        state.endpoints.remove(node);
+        state
+            .departed
+            .retain(|_, (_, since)| since.elapsed() < DEPARTED_TERM);
+        let ended = (incarnation, Instant::now());
+        state.departed.insert(node.to_owned(), ended);
+        let addresses: Vec<_> = state.endpoints.values().map(|e| e.entry.address).collect();
+        state.links.retain(|address, _| addresses.contains(address));
+        self.publish(&state);
+        log::info!(event = "node_forgotten", node = node, incarnation = incarnation; "");
+    }
+
+    /// All entries.
+    pub(crate) fn entries(&self) -> Vec<Entry> {
+        let state = self.lock();
+        state.endpoints.values().map(|e| e.entry.clone()).collect()
+    }
+
+    /// One endpoint by its node's name.
+    pub(crate) fn find(&self, node: &str) -> Option<Arc<Endpoint>> {
+        self.lock().endpoints.get(node).cloned()
+    }
+
+    /// Number of nodes.
+    pub(crate) fn len(&self) -> usize {
+        self.lock().endpoints.len()
+    }
+
+    /// Links to all other nodes.
+    pub(crate) fn links(&self) -> Vec<Arc<Link>> {
+        let state = self.lock();
+        let links = state.endpoints.values().filter_map(|e| e.link.clone());
+        links.collect()
+    }
+
+    /// Sends news to all other nodes.
+    pub(crate) fn broadcast(&self, news: &News) {
+        for link in self.links() {
+            link.tell(news.clone());
+        }
+    }
+
+    /// Targets of a service that take new work and are not in `excluded`, best first.
+    pub(crate) fn rank(
+        &self,
+        service: &str,
+        expected: Duration,
+        excluded: &[String],
+    ) -> Vec<Arc<Endpoint>> {
+        let by_service = self.by_service.load();
+        let Some(endpoints) = by_service.get(service) else {
+            return Vec::new();
+        };
+        let usable = |endpoint: &&Arc<Endpoint>| {
+            endpoint.is_serving() && !excluded.contains(&endpoint.entry.node)
+        };
+        let mut ranked: Vec<(Duration, &Arc<Endpoint>)> = endpoints
+            .iter()
+            .filter(usable)
+            .map(|endpoint| (endpoint.cost(expected), endpoint))
+            .collect();
+        ranked.sort_by_key(|(cost, _)| *cost);
+        ranked.into_iter().map(|(_, e)| e.clone()).collect()
+    }
+
+    fn publish(&self, state: &State) {
+        let mut by_service = ByService::new();
+        for endpoint in state.endpoints.values() {
+            let Some(target) = &endpoint.entry.target else {
+                continue;
+            };
+            if endpoint.entry.presence == Presence::Serving {
+                let list = by_service.entry(target.service.clone()).or_default();
+                list.push(endpoint.clone());
+            }
+        }
+        self.by_service.store(Arc::new(by_service));
+    }
+
+    fn distance(&self, entry: &Entry) -> Distance {
+        if entry.node == self.place.node {
+            SAME_NODE
+        } else if entry.data_center == self.place.data_center {
+            SAME_CENTER
+        } else if entry.region == self.place.region {
+            SAME_REGION
+        } else {
+            OTHER_REGION
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/forward/attempt.rs
@@ -0,0 +1,107 @@
+//! One attempt of a call at one target.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::directory::Endpoint;
+use crate::forward::call::Call;
+use crate::h1::Response;
+use crate::link::Reply;
+use crate::target::Side;
+use crate::verdict::{Reason, Refusal, Verdict};
+
+/// Time after the deadline in which the refusal of a target's node may still arrive.
+const REPLY_GRACE: Duration = Duration::from_millis(25);
+
+/// How an attempt ended.
+pub(super) struct Outcome {
+    /// The target's answer, or why there is none.
+    pub answer: Result<Response, Refusal>,
+    /// Whether the request may have reached the target.
+    pub reached: bool,
+}
+
+/// Offers a call to one target and waits for the end. Dropping the future cancels the attempt.
+pub(super) async fn run(
+    side: &Arc<Side>,
+    call: &Call,
+    endpoint: &Endpoint,
+    patience: Duration,
+) -> Outcome {
+    let offer = call.offer(patience);
+    let in_flight = endpoint.begin();
+    let began = Instant::now();
+    let limit = offer.left + REPLY_GRACE;
+    let answer = match &endpoint.link {
+        None => {
+            let answer = tokio::time::timeout(limit, side.run(offer)).await;
+            answer.unwrap_or(Err(Refusal::may_have_run(Reason::Deadline)))
+        }
+        Some(link) => {
+            let mut sent = link.offer(offer);
+            match tokio::time::timeout(limit, sent.reply()).await {
+                Ok(Reply::Answer(message)) => {
+                    Response::try_from(message).map_err(|_| Refusal::may_have_run(Reason::Spoiled))
+                }
+                Ok(Reply::Refused(refusal)) => Err(refusal),
+                Err(_) => Err(Refusal::may_have_run(Reason::Deadline)),
+            }
+        }
+    };
+    drop(in_flight);
+    note(endpoint, &answer);
+    log_attempt(call, endpoint, &answer, began.elapsed());
+    let reached = match &answer {
+        Ok(_) => true,
+        Err(refusal) => {
+            refusal.verdict == Verdict::MayHaveRun || refusal.reason == Reason::Rejected
+        }
+    };
+    Outcome { answer, reached }
+}
+
+fn note(endpoint: &Endpoint, answer: &Result<Response, Refusal>) {
+    match answer {
+        Ok(_) => endpoint.note_outcome(false),
+        Err(refusal) => match refusal.reason {
+            Reason::Overloaded | Reason::Rejected | Reason::NoTarget | Reason::Draining => {
+                endpoint.note_refused();
+            }
+            Reason::ConnectionLost | Reason::Unreachable | Reason::Deadline => {
+                endpoint.note_outcome(true);
+            }
+            _ => {}
+        },
+    }
+}
+
+fn log_attempt(
+    call: &Call,
+    endpoint: &Endpoint,
+    answer: &Result<Response, Refusal>,
+    took: Duration,
+) {
+    let target = endpoint.entry.target.as_ref().map_or("", |t| t.id.as_str());
+    let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+    match answer {
+        Ok(response) => log::debug!(
+            event = "attempt",
+            request_id = call.request_id.as_str(),
+            node = endpoint.entry.node.as_str(),
+            target_id = target,
+            status = response.status.as_u16(),
+            took_ms = took_ms;
+            ""
+        ),
+        Err(refusal) => log::info!(
+            event = "attempt_failed",
+            request_id = call.request_id.as_str(),
+            node = endpoint.entry.node.as_str(),
+            target_id = target,
+            reason = refusal.reason.to_string().as_str(),
+            verdict = refusal.verdict.to_string().as_str(),
+            took_ms = took_ms;
+            ""
+        ),
+    }
+}
--- /dev/null
+++ b/src/h1/head.rs
@@ -0,0 +1,253 @@
+//! Heads of requests and responses.
+
+use bytes::{Bytes, BytesMut};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, StatusCode};
+
+use crate::h1::Fault;
+
+const MAX_HEADERS: usize = 128;
+
+/// Headers that concern one connection only, and are never passed on.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Whether a header concerns one connection only.
+fn is_hop_by_hop(name: &str) -> bool {
+    HOP_BY_HOP.contains(&name)
+}
+
+/// How the end of a body is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// No body.
+    Empty,
+    /// A known number of bytes.
+    Length(usize),
+    /// Chunks.
+    Chunked,
+    /// Everything until the connection ends.
+    UntilClose,
+}
+
+/// A request.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    /// Method.
+    pub method: Method,
+    /// Path and query as sent.
+    pub target: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// Whether the connection stays open after the response.
+    pub keep_alive: bool,
+}
+
+/// A response.
+#[derive(Clone, Debug)]
+pub(crate) struct Response {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// Whether the connection stays open after the response.
+    pub keep_alive: bool,
+}
+
+impl Response {
+    /// A response of the system's own, with a line of text.
+    pub(crate) fn text(status: StatusCode, text: &str) -> Self {
+        let mut headers = HeaderMap::new();
+        headers.insert("content-type", HeaderValue::from_static("text/plain"));
+        Self {
+            status,
+            headers,
+            body: Bytes::copy_from_slice(text.as_bytes()),
+            keep_alive: true,
+        }
+    }
+
+    /// Appends the response as it goes onto the wire. `close` announces that the connection ends;
+    /// `bodyless` leaves the body out, as for `HEAD`.
+    pub(crate) fn write(&self, out: &mut BytesMut, close: bool, bodyless: bool) {
+        let reason = self.status.canonical_reason().unwrap_or("Unknown");
+        let line = format!("HTTP/1.1 {} {reason}\r\n", self.status.as_u16());
+        out.extend_from_slice(line.as_bytes());
+        write_headers(out, &self.headers);
+        let informational =
+            self.status == StatusCode::NO_CONTENT || self.status == StatusCode::NOT_MODIFIED;
+        if !informational {
+            let length = format!("content-length: {}\r\n", self.body.len());
+            out.extend_from_slice(length.as_bytes());
+        }
+        if close {
+            out.extend_from_slice(b"connection: close\r\n");
+        }
+        out.extend_from_slice(b"\r\n");
+        if !bodyless && !informational {
+            out.extend_from_slice(&self.body);
+        }
+    }
+}
+
+impl Request {
+    /// Appends the request as it goes onto the wire.
+    pub(crate) fn write(&self, out: &mut BytesMut) {
+        let line = format!("{} {} HTTP/1.1\r\n", self.method, self.target);
+        out.extend_from_slice(line.as_bytes());
+        write_headers(out, &self.headers);
+        let expects_body = matches!(self.method, Method::POST | Method::PUT | Method::PATCH);
+        if expects_body || !self.body.is_empty() {
+            let length = format!("content-length: {}\r\n", self.body.len());
+            out.extend_from_slice(length.as_bytes());
+        }
+        out.extend_from_slice(b"\r\n");
+        out.extend_from_slice(&self.body);
+    }
+}
+
+/// Writes all headers but those that frame the message, which the writer sets itself.
+fn write_headers(out: &mut BytesMut, headers: &HeaderMap) {
+    for (name, value) in headers {
+        if is_hop_by_hop(name.as_str()) || name == "content-length" {
+            continue;
+        }
+        out.extend_from_slice(name.as_str().as_bytes());
+        out.extend_from_slice(b": ");
+        out.extend_from_slice(value.as_bytes());
+        out.extend_from_slice(b"\r\n");
+    }
+}
+
+/// A parsed request head, its length in bytes and the framing of the body.
+pub(super) type ParsedRequest = (Request, usize, Framing);
+/// A parsed response head, its length in bytes and the framing of the body.
+pub(super) type ParsedResponse = (Response, usize, Framing);
+
+/// Parses a request head; `None` while it is incomplete.
+pub(super) fn parse_request(buffer: &[u8]) -> Result<Option<ParsedRequest>, Fault> {
+    let mut slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Request::new(&mut slots);
+    let length = match parsed.parse(buffer) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(error) => return Err(Fault::Malformed(error.to_string())),
+    };
+    let method = parsed.method.unwrap_or_default().parse::<Method>();
+    let method = method.map_err(|error| Fault::Malformed(error.to_string()))?;
+    let headers = header_map(parsed.headers)?;
+    let framing = match body_length(&headers)? {
+        Some(framing) => framing,
+        None => Framing::Empty,
+    };
+    let request = Request {
+        method,
+        target: parsed.path.unwrap_or_default().to_owned(),
+        keep_alive: keeps_alive(&headers, parsed.version),
+        headers,
+        body: Bytes::new(),
+    };
+    Ok(Some((request, length, framing)))
+}
+
+/// Parses a response head; `None` while it is incomplete.
+pub(super) fn parse_response(
+    buffer: &[u8],
+    method: &Method,
+) -> Result<Option<ParsedResponse>, Fault> {
+    let mut slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Response::new(&mut slots);
+    let length = match parsed.parse(buffer) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(error) => return Err(Fault::Malformed(error.to_string())),
+    };
+    let status = StatusCode::from_u16(parsed.code.unwrap_or_default());
+    let status = status.map_err(|error| Fault::Malformed(error.to_string()))?;
+    let headers = header_map(parsed.headers)?;
+    let bodyless = method == Method::HEAD
+        || status.is_informational()
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED;
+    let framing = if bodyless {
+        Framing::Empty
+    } else {
+        body_length(&headers)?.unwrap_or(Framing::UntilClose)
+    };
+    let response = Response {
+        status,
+        keep_alive: keeps_alive(&headers, parsed.version) && framing != Framing::UntilClose,
+        headers,
+        body: Bytes::new(),
+    };
+    Ok(Some((response, length, framing)))
+}
+
+fn header_map(parsed: &[httparse::Header]) -> Result<HeaderMap, Fault> {
+    let mut headers = HeaderMap::with_capacity(parsed.len());
+    for header in parsed {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_bytes(header.value);
+        match (name, value) {
+            (Ok(name), Ok(value)) => headers.append(name, value),
+            _ => return Err(Fault::Malformed(format!("header {}", header.name))),
+        };
+    }
+    Ok(headers)
+}
+
+/// Framing given by the headers. Both a length and chunks, or two lengths that differ, would let
+/// one message hide another.
+fn body_length(headers: &HeaderMap) -> Result<Option<Framing>, Fault> {
+    let mut lengths = headers.get_all("content-length").iter();
+    let length = lengths.next();
+    if lengths.any(|other| Some(other) != length) {
+        return Err(Fault::Malformed("two lengths".into()));
+    }
+    if let Some(encoding) = headers.get("transfer-encoding") {
+        let chunked = encoding.as_bytes().eq_ignore_ascii_case(b"chunked");
+        if !chunked || length.is_some() {
+            return Err(Fault::Malformed("ambiguous length".into()));
+        }
+        return Ok(Some(Framing::Chunked));
+    }
+    let Some(length) = length else {
+        return Ok(None);
+    };
+    let digits = length.to_str().unwrap_or_default();
+    if digits.is_empty() || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(Fault::Malformed("length is not a number".into()));
+    }
+    let length = digits.parse::<usize>();
+    let length = length.map_err(|_| Fault::Malformed("length is too large".into()))?;
+    Ok(Some(Framing::Length(length)))
+}
+
+fn keeps_alive(headers: &HeaderMap, version: Option<u8>) -> bool {
+    let connection = headers.get("connection").and_then(|v| v.to_str().ok());
+    let has = |token: &str| {
+        connection.is_some_and(|value| {
+            value
+                .split(',')
+                .any(|part| part.trim().eq_ignore_ascii_case(token))
+        })
+    };
+    if version == Some(1) {
+        !has("close")
+    } else {
+        has("keep-alive")
+    }
+}
--- /dev/null
+++ b/src/h1/stream.rs
@@ -0,0 +1,221 @@
+//! Messages read from and written to one connection.
+
+use bytes::{Buf, Bytes, BytesMut};
+use hyper::Method;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+use crate::h1::head::{Framing, Request, Response, parse_request, parse_response};
+
+const READ_CHUNK_BYTES: usize = 16 * 1024;
+/// Longest line that announces a chunk, with its extensions.
+const MAX_CHUNK_LINE_BYTES: usize = 1024;
+const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
+
+/// Why a message could not be read.
+#[derive(Debug, derive_more::Display)]
+pub(crate) enum Fault {
+    /// The peer closed the connection in order, between messages.
+    #[display("closed")]
+    Closed,
+    /// The connection ended or broke inside a message.
+    #[display("cut off: {_0}")]
+    CutOff(String),
+    /// The bytes are not a message.
+    #[display("malformed: {_0}")]
+    Malformed(String),
+    /// The head is larger than allowed.
+    #[display("head too large")]
+    HeadTooLarge,
+    /// The body is larger than allowed.
+    #[display("body too large")]
+    BodyTooLarge,
+}
+
+/// A buffered reader of messages.
+pub(crate) struct Stream<R> {
+    inner: R,
+    buffer: BytesMut,
+}
+
+impl<R> Stream<R> {
+    pub(crate) fn new(inner: R) -> Self {
+        Self {
+            inner,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Whether bytes were read that belong to no message yet.
+    pub(crate) fn has_leftover(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    pub(crate) fn get_ref(&self) -> &R {
+        &self.inner
+    }
+}
+
+impl<W: AsyncWrite + Unpin> Stream<W> {
+    /// Writes a whole request.
+    pub(crate) async fn write_request(&mut self, request: &Request) -> std::io::Result<()> {
+        let mut out = BytesMut::new();
+        request.write(&mut out);
+        self.inner.write_all(&out).await
+    }
+}
+
+impl<R: AsyncRead + Unpin> Stream<R> {
+    /// Waits until the next message has begun to arrive.
+    pub(crate) async fn wait_for_bytes(&mut self) -> Result<(), Fault> {
+        while self.buffer.is_empty() {
+            if self.fill().await? == 0 {
+                return Err(Fault::Closed);
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads and drops what has arrived; returns the number of bytes, 0 at the end.
+    pub(crate) async fn discard(&mut self) -> usize {
+        self.buffer.clear();
+        self.fill().await.unwrap_or_default()
+    }
+
+    /// Reads a request head whose first bytes have arrived.
+    pub(crate) async fn read_request_head(
+        &mut self,
+        limit: usize,
+    ) -> Result<(Request, Framing), Fault> {
+        loop {
+            if let Some((request, length, framing)) = parse_request(&self.buffer)? {
+                if length > limit {
+                    return Err(Fault::HeadTooLarge);
+                }
+                self.buffer.advance(length);
+                return Ok((request, framing));
+            }
+            if self.buffer.len() > limit {
+                return Err(Fault::HeadTooLarge);
+            }
+            self.fill_inside().await?;
+        }
+    }
+
+    /// Reads a whole response to a request with `method`; interim responses are passed over.
+    pub(crate) async fn read_response(
+        &mut self,
+        method: &Method,
+        body_limit: usize,
+    ) -> Result<Response, Fault> {
+        loop {
+            let parsed = parse_response(&self.buffer, method)?;
+            let Some((mut response, length, framing)) = parsed else {
+                if self.buffer.len() > MAX_RESPONSE_HEAD_BYTES {
+                    return Err(Fault::HeadTooLarge);
+                }
+                self.fill_inside().await?;
+                continue;
+            };
+            self.buffer.advance(length);
+            if response.status.is_informational() {
+                continue;
+            }
+            response.body = self.read_body(framing, body_limit).await?;
+            return Ok(response);
+        }
+    }
+
+    /// Reads a whole body.
+    pub(crate) async fn read_body(
+        &mut self,
+        framing: Framing,
+        limit: usize,
+    ) -> Result<Bytes, Fault> {
+        match framing {
+            Framing::Empty => Ok(Bytes::new()),
+            Framing::Length(length) if length > limit => Err(Fault::BodyTooLarge),
+            Framing::Length(length) => self.take(length).await,
+            Framing::Chunked => self.read_chunks(limit).await,
+            Framing::UntilClose => self.read_rest(limit).await,
+        }
+    }
+
+    async fn read_chunks(&mut self, limit: usize) -> Result<Bytes, Fault> {
+        let mut body = BytesMut::new();
+        loop {
+            let size = self.read_chunk_size().await?;
+            if size > limit - body.len() {
+                return Err(Fault::BodyTooLarge);
+            }
+            if size == 0 {
+                self.skip_trailers().await?;
+                return Ok(body.freeze());
+            }
+            body.extend_from_slice(&self.take(size).await?);
+            if &self.take(2).await?[..] != b"\r\n" {
+                return Err(Fault::Malformed("chunk without end".into()));
+            }
+        }
+    }
+
+    async fn read_chunk_size(&mut self) -> Result<usize, Fault> {
+        loop {
+            match httparse::parse_chunk_size(&self.buffer) {
+                Ok(httparse::Status::Complete((length, size))) => {
+                    self.buffer.advance(length);
+                    let size = usize::try_from(size);
+                    return size.map_err(|_| Fault::BodyTooLarge);
+                }
+                Ok(httparse::Status::Partial) if self.buffer.len() < MAX_CHUNK_LINE_BYTES => {
+                    self.fill_inside().await?;
+                }
+                _ => return Err(Fault::Malformed("chunk size".into())),
+            }
+        }
+    }
+
+    async fn skip_trailers(&mut self) -> Result<(), Fault> {
+        loop {
+            if let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\r\n") {
+                self.buffer.advance(end + 2);
+                if end == 0 {
+                    return Ok(());
+                }
+                continue;
+            }
+            if self.buffer.len() > MAX_CHUNK_LINE_BYTES {
+                return Err(Fault::Malformed("trailers".into()));
+            }
+            self.fill_inside().await?;
+        }
+    }
+
+    async fn read_rest(&mut self, limit: usize) -> Result<Bytes, Fault> {
+        while self.fill().await? > 0 {
+            if self.buffer.len() > limit {
+                return Err(Fault::BodyTooLarge);
+            }
+        }
+        Ok(self.buffer.split().freeze())
+    }
+
+    async fn take(&mut self, length: usize) -> Result<Bytes, Fault> {
+        while self.buffer.len() < length {
+            self.fill_inside().await?;
+        }
+        Ok(self.buffer.split_to(length).freeze())
+    }
+
+    async fn fill_inside(&mut self) -> Result<(), Fault> {
+        match self.fill().await? {
+            0 => Err(Fault::CutOff("connection ended".into())),
+            _ => Ok(()),
+        }
+    }
+
+    async fn fill(&mut self) -> Result<usize, Fault> {
+        self.buffer.reserve(READ_CHUNK_BYTES);
+        let read = self.inner.read_buf(&mut self.buffer).await;
+        read.map_err(|error| Fault::CutOff(error.to_string()))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,7 @@
 //! routes calls to healthy targets while versions change.
 //!
 //! [`node::Node`] is the process beside each target. [`rollout::Operator`] is what operators drive
-//! it with, through the platform's table service and object store ([`platform::Platform`]).
+//! it with, through the platform's table service and object store ([`store::Platform`]).
 
 #[cfg(feature = "standin")]
 pub mod bench;
@@ -14,19 +14,30 @@
 pub mod rollout;
 pub mod roster;
 pub mod settings;
+pub mod sidecar;
 #[cfg(feature = "standin")]
 pub mod standin;
+pub mod store;
 pub mod telemetry;
 pub mod verdict;
 
 mod admission;
 mod claim;
+mod dialect;
+mod directory;
+mod forward;
+mod h1;
 mod http;
+mod ingress;
+mod link;
 mod peers;
 mod proxy;
 mod route;
+mod target;
+mod version;
 mod wire;
 
 pub use error::{Error, Result};
 pub use node::Node;
 pub use settings::Settings;
+pub use sidecar::Sidecar;
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -9,11 +9,11 @@
 
 use crate::claim::Claims;
 use crate::peers::Peers;
-use crate::platform::{Holder, Lease, Platform};
 use crate::proxy::Proxy;
 use crate::rollout::{Agent, Fetcher, Shelf, Sources};
 use crate::roster::{Applied, Change, Member, Offer, Presence, Roster, Suspicions, Update, View};
 use crate::settings::Settings;
+use crate::store::{Holder, Lease, Platform};
 use crate::telemetry::{Counters, Histograms, Traffic};
 use crate::wire::Peer;
 
--- a/src/node/delivery.rs
+++ b/src/node/delivery.rs
@@ -181,7 +181,7 @@
 }
 
 /// A delivery of the registrar to its whole data centre.
-pub(crate) fn whole(core: &Core, registrar: crate::platform::Holder) -> Delivery {
+pub(crate) fn whole(core: &Core, registrar: crate::store::Holder) -> Delivery {
     Delivery {
         registrar,
         seed: rand::random(),
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -13,9 +13,9 @@
 use crate::node::delivery;
 use crate::node::membership::{self, CALL_TIMEOUT};
 use crate::node::source;
-use crate::platform::Holder;
 use crate::rollout::{Report, Tally, position};
 use crate::roster::{Change, Member, Registrar, Update};
+use crate::store::Holder;
 use crate::wire::{ControlClient as _, Exchange};
 
 const TICK: Duration = Duration::from_millis(50);
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -10,9 +10,9 @@
 
 use crate::node::core::Core;
 use crate::node::{delivery, lead};
-use crate::platform::Holder;
 use crate::rollout::position;
 use crate::roster::Member;
+use crate::store::Holder;
 use crate::wire::{ControlClient as _, Silence, Welcome};
 
 /// Time for a short control message and its answer.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -17,10 +17,10 @@
 use crate::bundle::Version;
 use crate::error::Result;
 use crate::http::Server;
-use crate::platform::Platform;
 use crate::proxy;
 use crate::roster::Presence;
 use crate::settings::Settings;
+use crate::store::Platform;
 
 pub(crate) use core::Core;
 
--- a/src/node/source.rs
+++ b/src/node/source.rs
@@ -9,8 +9,8 @@
 
 use crate::error::Error;
 use crate::node::core::Core;
-use crate::platform::{Holder, LEASE_PREFIX, Row, Transaction};
 use crate::rollout::{Driver, Head, ROLLOUT_KEY, Report, Rollout, report_key};
+use crate::store::{Holder, LEASE_PREFIX, Row, Transaction};
 
 const PREPARING_POLL: Duration = Duration::from_millis(50);
 const DIRECTORY_PERIOD: Duration = Duration::from_secs(2);
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -1,114 +1,83 @@
-//! Adapter to the platform over HTTP.
-//!
-//! `GET /table/row?key`, `GET /table/scan?prefix`, `POST /table/transact`,
-//! `GET /objects/name` and `PUT /objects/name`. Status 409 is a failed condition.
+//! Headers of requests and answers.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use async_trait::async_trait;
-use bytes::Bytes;
-use hyper::{Method, Request, StatusCode};
+use hyper::Method;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 
-use crate::error::{Error, Result};
-use crate::http::{Body, Pool, full, read_whole};
-use crate::platform::{Objects, Platform, Row, Rows, Table, Transaction};
+use crate::bundle::{Bundle, Version};
+use crate::dialect::{self, Notice};
+use crate::h1::{Request, Response};
+use crate::platform::{config, notice};
 
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
-const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+const REQUEST_ID: &str = "bluebellgap-request-id";
+/// Time that the sender waits, in milliseconds.
+const DEADLINE_MS: &str = "bluebellgap-deadline-ms";
+/// Identity of the target that is meant; any other refuses with 421.
+const EXPECT_INSTANCE: &str = "bluebellgap-expect-instance";
+/// Service of the VM on which the request began.
+const CALLER_SERVICE: &str = "bluebellgap-caller-service";
+/// Signature that a target puts on its answers.
+const SERVER_STAMP: &str = "bluebellgap-server-stamp";
+/// Mark of a refusal by a target that did not run the request.
+const NOT_RUN: &str = "bluebellgap-not-run";
+/// Status of a target that is not the one that was meant.
+const MISDIRECTED: u16 = 421;
 
-/// Client of the platform's table service and object store.
-pub struct Client {
-    pool: Pool,
-}
+/// The platform's manner of marking and writing messages.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Dialect;
 
-impl Client {
-    /// A platform whose services listen at `address`.
-    #[must_use]
-    pub fn platform(address: SocketAddr) -> Platform {
-        let client = std::sync::Arc::new(Self {
-            pool: Pool::new(address),
-        });
-        Platform {
-            table: client.clone(),
-            objects: client,
-        }
+impl dialect::Dialect for Dialect {
+    fn notice(&self, method: &Method, path: &str, body: &[u8]) -> Result<Notice, String> {
+        notice::read(method, path, body)
     }
 
-    async fn call(&self, method: Method, path: &str, body: Bytes) -> Result<(StatusCode, Bytes)> {
-        let request: Request<Body> = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", "platform")
-            .body(full(body))
-            .map_err(|error| Error::Unavailable(error.to_string()))?;
-        let exchange = async {
-            let response = self.pool.send(request).await.map_err(|e| e.to_string())?;
-            let (head, body) = response.into_parts();
-            let bytes = read_whole(body, MAX_ANSWER_BYTES).await?;
-            Ok::<_, String>((head.status, bytes))
-        };
-        match tokio::time::timeout(REQUEST_TIMEOUT, exchange).await {
-            Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(error)) => Err(Error::Unavailable(error)),
-            Err(_) => Err(Error::Unavailable("no answer in time".into())),
-        }
+    fn acknowledgement(&self) -> &'static str {
+        "{}"
     }
 
-    async fn read(&self, path: &str) -> Result<Option<Bytes>> {
-        match self.call(Method::GET, path, Bytes::new()).await? {
-            (StatusCode::OK, bytes) => Ok(Some(bytes)),
-            (StatusCode::NOT_FOUND, _) => Ok(None),
-            (status, _) => Err(Error::Unavailable(format!("status {status}"))),
-        }
+    fn version(&self, bytes: &[u8]) -> Result<(Version, Bundle), String> {
+        config::read(bytes)
     }
-}
 
-fn parse<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T> {
-    serde_json::from_slice(bytes).map_err(|error| Error::Unavailable(error.to_string()))
-}
+    fn version_key(&self) -> &'static str {
+        config::KEY
+    }
 
-#[async_trait]
-impl Table for Client {
-    async fn get(&self, key: &str) -> Result<Option<Row>> {
-        let bytes = self.read(&format!("/table/row?{key}")).await?;
-        bytes.map(|bytes| parse(&bytes)).transpose()
+    fn address(&self, request: &mut Request, id: &str, caller_service: &str, left: Duration) {
+        let left = left.as_millis().to_string();
+        set(&mut request.headers, EXPECT_INSTANCE, id);
+        set(&mut request.headers, CALLER_SERVICE, caller_service);
+        set(&mut request.headers, DEADLINE_MS, &left);
     }
 
-    async fn scan(&self, prefix: &str) -> Result<Vec<Row>> {
-        let bytes = self.read(&format!("/table/scan?{prefix}")).await?;
-        let rows: Rows = parse(&bytes.unwrap_or_default())?;
-        Ok(rows.rows)
+    fn request_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str> {
+        headers.get(REQUEST_ID)?.to_str().ok()
     }
 
-    async fn transact(&self, transaction: &Transaction) -> Result<u64> {
-        let body = serde_json::to_vec(transaction).expect("transactions are plain data");
-        let (status, bytes) = self
-            .call(Method::POST, "/table/transact", body.into())
-            .await?;
-        match status {
-            StatusCode::OK => parse(&bytes),
-            StatusCode::CONFLICT => Err(Error::Conflict(
-                String::from_utf8_lossy(&bytes).into_owned(),
-            )),
-            status => Err(Error::Unavailable(format!("status {status}"))),
-        }
+    fn patience(&self, headers: &HeaderMap) -> Option<Duration> {
+        let text = headers.get(DEADLINE_MS)?.to_str().ok()?;
+        let millis = text.trim().parse::<f64>().ok()?;
+        Duration::try_from_secs_f64(millis / 1e3).ok()
     }
-}
 
-#[async_trait]
-impl Objects for Client {
-    async fn fetch(&self, name: &str) -> Result<Option<Bytes>> {
-        self.read(&format!("/objects/{name}")).await
+    fn is_rejection(&self, response: &Response) -> bool {
+        response.headers.contains_key(NOT_RUN) || response.status.as_u16() == MISDIRECTED
     }
 
-    async fn store(&self, name: &str, bytes: Bytes) -> Result<()> {
-        match self
-            .call(Method::PUT, &format!("/objects/{name}"), bytes)
-            .await?
-        {
-            (StatusCode::OK, _) => Ok(()),
-            (status, _) => Err(Error::Unavailable(format!("status {status}"))),
+    /// A target signs every answer, and sends bodies without any encoding.
+    fn is_genuine(&self, response: &Response) -> bool {
+        response.headers.contains_key(SERVER_STAMP)
+            && !response.headers.contains_key("content-encoding")
+    }
+}
+
+fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    match HeaderValue::from_str(value) {
+        Ok(value) => {
+            headers.insert(HeaderName::from_static(name), value);
         }
+        Err(error) => log::warn!(event = "header_left_out", name = name; "{error}"),
     }
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,56 +1,13 @@
-//! Ports to the platform: a transactional table service and an object store.
+//! Adapter to the users' platform: names, formats and calls. Nothing here decides anything, and
+//! nothing outside knows the platform's names.
 
+mod config;
 mod http;
-mod lease;
-mod wire;
+mod notice;
+mod store;
 
-use std::sync::Arc;
+pub use http::Dialect;
+pub use store::Store;
 
-use async_trait::async_trait;
-use bytes::Bytes;
-
-use crate::error::Result;
-
-pub use http::Client;
-pub use lease::Holder;
-pub(crate) use lease::{LEASE_PREFIX, Lease};
-pub use wire::{Condition, Row, Rows, Transaction, Write};
-
-/// The platform's transactional table.
-#[async_trait]
-pub trait Table: Send + Sync {
-    /// Reads one row.
-    async fn get(&self, key: &str) -> Result<Option<Row>>;
-
-    /// Reads the rows whose keys begin with `prefix`, in key order.
-    async fn scan(&self, prefix: &str) -> Result<Vec<Row>>;
-
-    /// Applies all writes if all conditions hold, else none; returns the revision that the
-    /// written rows have now.
-    ///
-    /// Fails with [`crate::Error::Conflict`] if a condition does not hold, and with
-    /// [`crate::Error::Unavailable`] where it is unknown whether the writes took effect.
-    async fn transact(&self, transaction: &Transaction) -> Result<u64>;
-}
-
-/// The platform's object store.
-#[async_trait]
-pub trait Objects: Send + Sync {
-    /// Reads a whole object.
-    async fn fetch(&self, name: &str) -> Result<Option<Bytes>>;
-
-    /// Stores a whole object; storing the same bytes again is harmless.
-    async fn store(&self, name: &str, bytes: Bytes) -> Result<()>;
-}
-
-/// Both services of the platform.
-#[derive(Clone)]
-pub struct Platform {
-    /// The table service.
-    pub table: Arc<dyn Table>,
-    /// The object store.
-    pub objects: Arc<dyn Objects>,
-}
-
-#[cfg(all(test, feature = "standin"))]
+#[cfg(test)]
 mod tests;
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -191,7 +191,7 @@
     })
 }
 
-const REASONS: [(Reason, &str); 14] = [
+const REASONS: [(Reason, &str); 19] = [
     (Reason::NoBundle, "no-bundle"),
     (Reason::NoRoute, "no-route"),
     (Reason::BadRequest, "bad-request"),
@@ -206,6 +206,11 @@
     (Reason::Duplicate, "duplicate"),
     (Reason::KeyReused, "key-reused"),
     (Reason::Shed, "shed"),
+    (Reason::Unreachable, "unreachable"),
+    (Reason::Rejected, "rejected"),
+    (Reason::Spoiled, "spoiled"),
+    (Reason::Failed, "failed"),
+    (Reason::Cancelled, "cancelled"),
 ];
 
 /// Short form of a reason, for headers and counters.
--- a/src/rollout/archive.rs
+++ b/src/rollout/archive.rs
@@ -6,10 +6,10 @@
 
 use crate::bundle::{Digest, Version};
 use crate::error::{Error, Result};
-use crate::platform::{Platform, Transaction};
 use crate::rollout::shelf::{compress, decompress};
 use crate::rollout::state::{Draft, Phase, Rollout};
 use crate::rollout::{ROLLOUT_KEY, bundle_key};
+use crate::store::{Platform, Transaction};
 
 /// Tries of one action at the platform.
 pub(super) const MAX_TRIES: u32 = 8;
--- a/src/rollout/driver.rs
+++ b/src/rollout/driver.rs
@@ -5,10 +5,10 @@
 
 use crate::bundle::Version;
 use crate::error::{Error, Result};
-use crate::platform::{Platform, Row, Transaction};
 use crate::rollout::archive::{read_rollout, set_phase};
 use crate::rollout::state::Phase;
 use crate::rollout::{REPORT_PREFIX, ROLLOUT_KEY, Report, Tally};
+use crate::store::{Platform, Row, Transaction};
 
 /// Key of a data centre's report row.
 pub(crate) fn report_key(data_center: &str) -> String {
--- a/src/rollout/fetch.rs
+++ b/src/rollout/fetch.rs
@@ -13,10 +13,10 @@
 use crate::error::{Error, Result};
 use crate::http::{Body, Pool, empty, full, read_whole};
 use crate::peers::REGION_HEADER;
-use crate::platform::Platform;
 use crate::rollout::Shelf;
 use crate::rollout::archive::{delta_name, object_name};
 use crate::rollout::shelf::decompress;
+use crate::store::Platform;
 use crate::telemetry::Traffic;
 
 /// Path prefix on the mesh listener under which nodes serve bundles.
--- a/src/rollout/operator.rs
+++ b/src/rollout/operator.rs
@@ -4,13 +4,13 @@
 
 use crate::bundle::{self, Bundle, Digest, Signer, Version};
 use crate::error::{Error, Result};
-use crate::platform::{Platform, Row, Transaction};
 use crate::rollout::archive::{
     self, MAX_TRIES, RETRY_PAUSE, object_name, read_rollout, retry, set_phase,
 };
 use crate::rollout::shelf::decompress;
 use crate::rollout::state::{Action, Candidate, Draft, LastAction, Phase, Release, Rollout};
 use crate::rollout::{REPORT_PREFIX, ROLLOUT_KEY, Report, bundle_key};
+use crate::store::{Platform, Row, Transaction};
 
 /// What an operator sees of a roll.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -1,7 +1,8 @@
 //! Routes compiled for look-up.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use crate::bundle::{Bundle, ClassKind, Route};
@@ -9,6 +10,8 @@
 /// A route with the names it refers to resolved.
 #[derive(Debug)]
 pub(crate) struct Matched {
+    /// Name of the route.
+    pub name: String,
     /// Service.
     pub service: String,
     /// Target group of the service.
@@ -23,9 +26,57 @@
     pub idempotent: bool,
     /// Time for the answer to begin.
     pub timeout: Duration,
+    /// Targets that one request may be sent to at most.
+    pub attempts: u32,
+    /// Time within which an answer is worth most to its caller.
+    pub objective: Duration,
+    /// Rank in a target's queue; 0 is served first.
+    pub rank: u32,
+    split: Split,
     method: Option<String>,
 }
 
+impl Matched {
+    /// Service that the next request goes to, by the weights of the split.
+    pub(crate) fn next_service(&self) -> &str {
+        self.split.next().unwrap_or(&self.service)
+    }
+}
+
+/// Services that share a route by weight.
+#[derive(Debug, Default)]
+struct Split {
+    parts: Vec<(String, u32)>,
+    total: u32,
+    turn: AtomicU32,
+}
+
+/// 2^32 divided by the golden ratio: multiples of it spread evenly over the range of `u32`, so any
+/// run of requests is shared closely to the weights.
+const GOLDEN_STEP: u32 = 2_654_435_769;
+
+impl Split {
+    fn new(parts: &BTreeMap<String, u32>) -> Self {
+        Self {
+            parts: parts.iter().map(|(name, w)| (name.clone(), *w)).collect(),
+            total: parts.values().sum(),
+            turn: AtomicU32::new(rand::random()),
+        }
+    }
+
+    fn next(&self) -> Option<&str> {
+        let turn = self.turn.fetch_add(GOLDEN_STEP, Ordering::Relaxed);
+        let mut point = (u64::from(turn) * u64::from(self.total)) >> 32;
+        for (name, weight) in &self.parts {
+            if point < u64::from(*weight) {
+                return Some(name);
+            }
+            point -= u64::from(*weight);
+        }
+        None
+    }
+}
+
 /// Routes by host and path prefix.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
@@ -37,13 +88,13 @@
     /// Compiles the routes of a checked bundle.
     pub(crate) fn compile(bundle: &Bundle) -> Self {
         let mut table = Self::default();
-        for route in bundle.routes.values() {
+        for (name, route) in &bundle.routes {
             let paths = table.by_host.entry(route.host.clone()).or_default();
             let path = route.path.trim_end_matches('/').to_owned();
             paths
                 .entry(path)
                 .or_default()
-                .push(Arc::new(resolve(bundle, route)));
+                .push(Arc::new(resolve(bundle, name, route)));
         }
         for routes in table.by_host.values_mut().flat_map(HashMap::values_mut) {
             routes.sort_by_key(|route| route.method.is_none());
@@ -90,9 +141,10 @@
     }
 }
 
-fn resolve(bundle: &Bundle, route: &Route) -> Matched {
+fn resolve(bundle: &Bundle, name: &str, route: &Route) -> Matched {
     let group = &bundle.services[&route.service].group;
     Matched {
+        name: name.to_owned(),
         service: route.service.clone(),
         group: group.clone(),
         class: route.class.clone(),
@@ -100,6 +152,10 @@
         reserved_short_percent: bundle.groups[group].reserved_short_percent,
         idempotent: route.idempotent,
         timeout: Duration::from_millis(route.timeout_ms),
+        attempts: route.attempts,
+        objective: Duration::from_millis(route.objective_ms.unwrap_or(route.timeout_ms)),
+        rank: route.rank,
+        split: Split::new(&route.split),
         method: route.method.clone(),
     }
 }
--- /dev/null
+++ b/src/sidecar/admin.rs
@@ -0,0 +1,131 @@
+//! Readiness, status and metrics of a node.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use async_trait::async_trait;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use serde::Serialize;
+
+use crate::http::{self, Body, full};
+use crate::link::{Entry, Load};
+use crate::sidecar::hub::Hub;
+use crate::telemetry::{Counters, Histograms, Quantiles};
+
+/// What the admin listeners show.
+pub(super) struct Admin {
+    pub hub: Arc<Hub>,
+    pub leaving: Arc<AtomicBool>,
+    pub counters: Arc<Counters>,
+    pub histograms: Arc<Histograms>,
+}
+
+#[derive(Serialize)]
+struct Overview {
+    own: Entry,
+    version: u64,
+    store_answers: bool,
+    ready: bool,
+    load: Load,
+    heartbeat_age_ms: Option<u128>,
+    nodes: Vec<Entry>,
+    counters: BTreeMap<String, u64>,
+    latency: BTreeMap<String, Quantiles>,
+}
+
+#[async_trait]
+impl http::Handler for Admin {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        match request.uri().path() {
+            "/ready" => self.ready(),
+            "/status" => http::json(StatusCode::OK, &self.overview()),
+            "/metrics" => Response::new(full(self.metrics())),
+            _ => http::json(
+                StatusCode::NOT_FOUND,
+                &"known paths: /ready, /status, /metrics",
+            ),
+        }
+    }
+}
+
+impl Admin {
+    fn is_ready(&self) -> bool {
+        self.hub.versions.number() > 0 && !self.leaving.load(Ordering::Relaxed)
+    }
+
+    fn ready(&self) -> Response<Body> {
+        let version = self.hub.versions.number();
+        let mut response = Response::new(full(format!("version {version}\n")));
+        if !self.is_ready() {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        response
+    }
+
+    fn overview(&self) -> Overview {
+        Overview {
+            own: self.hub.own(),
+            version: self.hub.versions.number(),
+            store_answers: self.hub.store_answers.load(Ordering::Relaxed),
+            ready: self.is_ready(),
+            load: self.hub.status().load,
+            heartbeat_age_ms: self.hub.side.heartbeat_age().map(|age| age.as_millis()),
+            nodes: self.hub.directory.entries(),
+            counters: self.counters.snapshot(),
+            latency: self.histograms.snapshot(),
+        }
+    }
+
+    /// Counters, gauges and histograms, one line each.
+    fn metrics(&self) -> String {
+        let mut text = String::new();
+        let load = self.hub.status().load;
+        let gauges = [
+            ("version", self.hub.versions.number()),
+            ("ready", u64::from(self.is_ready())),
+            (
+                "store_answers",
+                u64::from(self.hub.store_answers.load(Ordering::Relaxed)),
+            ),
+            ("nodes", self.hub.directory.len() as u64),
+            ("target_running", load.running.into()),
+            ("target_queued", load.queued.into()),
+            ("target_slots", load.slots.into()),
+            ("target_run_ms", load.run_ms.into()),
+            ("target_slowness_percent", load.slowness_percent.into()),
+            ("target_failing_percent", load.failing_percent.into()),
+        ];
+        for (name, value) in gauges {
+            let _ = writeln!(text, "bluebellgap_{name} {value}");
+        }
+        for (name, value) in self.counters.snapshot() {
+            let name: String = name
+                .chars()
+                .map(|c| if c.is_ascii_alphanumeric() { c } else { '_' })
+                .collect();
+            let _ = writeln!(text, "{name}_total {value}");
+        }
+        for (label, quantiles) in self.histograms.snapshot() {
+            let values = [
+                ("0.5", quantiles.p50_us),
+                ("0.99", quantiles.p99_us),
+                ("1", quantiles.max_us),
+            ];
+            for (quantile, micros) in values {
+                let _ = writeln!(
+                    text,
+                    "bluebellgap_latency_us{{label=\"{label}\",quantile=\"{quantile}\"}} {micros}"
+                );
+            }
+            let count = quantiles.count;
+            let _ = writeln!(
+                text,
+                "bluebellgap_latency_us_count{{label=\"{label}\"}} {count}"
+            );
+        }
+        text
+    }
+}
--- /dev/null
+++ b/src/sidecar/follow.rs
@@ -0,0 +1,218 @@
+//! Following the platform's store: the newest version and the other nodes' entries; writing the
+//! node's own entry; asking other nodes while the store is away.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+use crate::error::Result;
+use crate::link::Entry;
+use crate::sidecar::hub::Hub;
+use crate::store::{Change, Changes, Feed, Row, Table, Transaction};
+
+/// Table of the nodes' entries.
+pub(crate) const NODES: &str = "nodes";
+/// Longest wait of one question for changes. A connection that has gone silent is noticed after it.
+const WAIT: Duration = Duration::from_secs(5);
+/// Pause after changes, so that a quick series is read as one.
+const BATCH_PAUSE: Duration = Duration::from_millis(150);
+/// Pauses after failures, doubled each time up to the last.
+const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(800));
+/// How often other nodes are asked while the store is away or some node has a higher version.
+const CONSULT_PERIOD: Duration = Duration::from_millis(400);
+/// Nodes asked each time.
+const CONSULTED: usize = 2;
+
+/// Follows one table until `stopped` closes, and goes on after every failure.
+pub(super) async fn follow(
+    feed: Arc<dyn Feed>,
+    table: &'static str,
+    hub: Arc<Hub>,
+    take: impl Fn(&Hub, &Change) + Send,
+    mut stopped: watch::Receiver<()>,
+) {
+    let mut pause = RETRY_PAUSE.0;
+    let mut position = None;
+    loop {
+        let step = step(feed.as_ref(), table, &hub, &take, position);
+        let step = tokio::select! {
+            step = step => step,
+            _ = stopped.changed() => return,
+        };
+        match step {
+            Ok(next) => {
+                note_store(&hub, None);
+                position = next;
+                pause = RETRY_PAUSE.0;
+                tokio::time::sleep(BATCH_PAUSE).await;
+            }
+            Err(error) => {
+                note_store(&hub, Some(&error));
+                tokio::time::sleep(pause.mul_f64(0.75 + 0.5 * rand::random::<f64>())).await;
+                pause = (pause * 2).min(RETRY_PAUSE.1);
+            }
+        }
+    }
+}
+
+/// Reads a snapshot, or the changes after a position; returns the next position.
+async fn step(
+    feed: &dyn Feed,
+    table: &str,
+    hub: &Hub,
+    take: &impl Fn(&Hub, &Change),
+    position: Option<u64>,
+) -> Result<Option<u64>> {
+    let Some(position) = position else {
+        let snapshot = feed.snapshot(table).await?;
+        for row in snapshot.rows {
+            take(hub, &Change::Written(row));
+        }
+        return Ok(Some(snapshot.position));
+    };
+    match feed.changes(table, position, WAIT).await? {
+        Changes::Next { changes, position } => {
+            for change in &changes {
+                take(hub, change);
+            }
+            Ok(Some(position))
+        }
+        Changes::HistoryLost => {
+            log::info!(event = "history_lost", table = table; "reading the whole table");
+            Ok(None)
+        }
+    }
+}
+
+fn note_store(hub: &Hub, error: Option<&crate::Error>) {
+    let answers = error.is_none();
+    if hub.store_answers.swap(answers, Ordering::Relaxed) == answers {
+        return;
+    }
+    match error {
+        None => log::info!(event = "store_regained"; ""),
+        Some(error) => log::warn!(event = "store_lost"; "{error}"),
+    }
+}
+
+/// Takes a change of the operators' table.
+pub(super) fn take_version(hub: &Hub, change: &Change, key: &str) {
+    if let Change::Written(row) = change
+        && row.key == key
+    {
+        hub.versions.take(row.value.as_bytes(), "store");
+    }
+}
+
+/// Takes a change of the nodes' table.
+pub(super) fn take_entry(hub: &Hub, change: &Change) {
+    match change {
+        Change::Written(row) => match row.parse::<Entry>() {
+            Ok(entry) => take_row(hub, row, entry),
+            Err(error) => log::warn!(event = "row_rejected", key = row.key.as_str(); "{error}"),
+        },
+        Change::Deleted(key) => {
+            let node = key
+                .strip_prefix(NODES)
+                .and_then(|key| key.strip_prefix('/'));
+            if let Some(node) = node
+                && node != hub.own().node
+                && let Some(known) = hub.directory.find(node)
+            {
+                hub.directory.forget(node, known.entry.incarnation);
+            }
+        }
+    }
+}
+
+fn take_row(hub: &Hub, row: &Row, entry: Entry) {
+    if row.key != key(&entry.node) {
+        log::warn!(event = "row_rejected", key = row.key.as_str(); "it names another node");
+        return;
+    }
+    let own = hub.own();
+    if entry.node == own.node && own.is_newer_than(&entry) {
+        // A late write replaced the newer one.
+        hub.announce.notify_one();
+    }
+    hub.learn_entries(vec![entry]);
+}
+
+fn key(node: &str) -> String {
+    format!("{NODES}/{node}")
+}
+
+/// Writes the node's own entry whenever it has changed, until `stopped` closes.
+pub(super) async fn announce(
+    table: Arc<dyn Table>,
+    hub: Arc<Hub>,
+    mut stopped: watch::Receiver<()>,
+) {
+    let mut pause = RETRY_PAUSE.0;
+    loop {
+        tokio::select! {
+            () = hub.announce.notified() => {}
+            _ = stopped.changed() => return,
+        }
+        loop {
+            let entry = hub.own();
+            let transaction = Transaction::default().put(&key(&entry.node), &entry);
+            match table.transact(&transaction).await {
+                Ok(_) => {
+                    pause = RETRY_PAUSE.0;
+                    if hub.own() == entry {
+                        break;
+                    }
+                }
+                Err(error) => {
+                    log::debug!(event = "announce_failed"; "{error}");
+                    tokio::time::sleep(pause.mul_f64(0.75 + 0.5 * rand::random::<f64>())).await;
+                    pause = (pause * 2).min(RETRY_PAUSE.1);
+                }
+            }
+        }
+    }
+}
+
+/// Deletes the node's own entry, as when it leaves for good. Tries once: other nodes find out by
+/// themselves.
+pub(super) async fn withdraw(table: &dyn Table, node: &str) {
+    let transaction = Transaction::default().delete(&key(node));
+    if let Err(error) = table.transact(&transaction).await {
+        log::info!(event = "withdraw_failed"; "{error}");
+    }
+}
+
+/// Asks other nodes while the store is away, before the first version, or while some node is known
+/// to have a higher one.
+pub(super) async fn consult(
+    seeds: Vec<Arc<crate::link::Link>>,
+    hub: Arc<Hub>,
+    mut stopped: watch::Receiver<()>,
+) {
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(CONSULT_PERIOD.mul_f64(0.75 + 0.5 * rand::random::<f64>())) => {}
+            _ = stopped.changed() => return,
+        }
+        let away = !hub.store_answers.load(Ordering::Relaxed);
+        if !away && !hub.is_behind() && hub.versions.number() > 0 {
+            continue;
+        }
+        let links = hub.directory.links();
+        let few = links.len() < CONSULTED;
+        let mut chosen: Vec<_> = links.into_iter().filter(|l| !l.is_unreachable()).collect();
+        if few {
+            chosen.extend(seeds.iter().cloned());
+        }
+        for _ in 0..CONSULTED {
+            if chosen.is_empty() {
+                break;
+            }
+            let link = chosen.swap_remove(rand::random_range(0..chosen.len()));
+            if few { link.consult() } else { link.ping() }
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/heartbeat.rs
@@ -0,0 +1,71 @@
+//! The listener for what the target says of itself.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{Request, Response, StatusCode};
+
+use crate::dialect::{Dialect, Notice};
+use crate::http::{self, Body, full, read_whole};
+use crate::target::{Side, Taken};
+
+/// Largest notice in bytes.
+const MAX_NOTICE_BYTES: usize = 64 * 1024;
+
+/// Takes heartbeats and departures.
+pub(super) struct Registry {
+    pub dialect: Arc<dyn Dialect>,
+    pub side: Arc<Side>,
+}
+
+#[async_trait]
+impl http::Handler for Registry {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        let (head, body) = request.into_parts();
+        let notice = match read_whole(body, MAX_NOTICE_BYTES).await {
+            Ok(body) => self.dialect.notice(&head.method, head.uri.path(), &body),
+            Err(error) => Err(error),
+        };
+        match notice {
+            Ok(notice) => {
+                self.take(notice);
+                self.acknowledge()
+            }
+            Err(fault) => {
+                log::warn!(event = "notice_rejected", path = head.uri.path(); "{fault}");
+                http::json(StatusCode::BAD_REQUEST, &fault)
+            }
+        }
+    }
+}
+
+impl Registry {
+    fn take(&self, notice: Notice) {
+        match notice {
+            Notice::Heartbeat(heartbeat) => {
+                let id = heartbeat.id.clone();
+                let (started_ms, sequence) = (heartbeat.started_ms, heartbeat.sequence);
+                if self.side.heartbeat(heartbeat) == Taken::Stale {
+                    log::info!(
+                        event = "heartbeat_stale",
+                        target_id = id.as_str(),
+                        started_ms = started_ms,
+                        sequence = sequence;
+                        "older than what is known"
+                    );
+                }
+            }
+            Notice::Departure { id, started_ms } => self.side.departed(&id, started_ms),
+        }
+    }
+
+    fn acknowledge(&self) -> Response<Body> {
+        let mut response = Response::new(full(self.dialect.acknowledgement()));
+        response
+            .headers_mut()
+            .insert("content-type", HeaderValue::from_static("application/json"));
+        response
+    }
+}
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -13,7 +13,7 @@
 
 use crate::error::{Error, Result};
 use crate::http::{Body, Handler, Server, empty, full, json, read_whole};
-use crate::platform::{Objects, Platform, Row, Rows, Table, Transaction};
+use crate::store::{Objects, Platform, Row, Rows, Table, Transaction};
 
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
--- a/src/platform/lease.rs
+++ b/src/store/lease.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::{Error, Result};
-use crate::platform::{Row, Table, Transaction};
+use crate::store::{Row, Table, Transaction};
 
 /// Key prefix of lease rows.
 pub(crate) const LEASE_PREFIX: &str = "lease/";
--- a/src/platform/wire.rs
+++ b/src/store/wire.rs
@@ -64,7 +64,7 @@
     /// Requires that `key` has `revision`, 0 for absent.
     ///
     /// ```
-    /// use bluebellgap::platform::Transaction;
+    /// use bluebellgap::store::Transaction;
     /// let transaction = Transaction::default().require("a", 0).put("a", &1);
     /// assert_eq!(transaction.writes[0].value.as_deref(), Some("1"));
     /// ```
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -2,6 +2,7 @@
 
 mod counters;
 mod histograms;
+pub mod lines;
 mod traffic;
 
 pub(crate) use counters::Counters;
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
+use serde::{Deserialize, Serialize};
 
 /// Response header that carries the [`Verdict`] of a failed request.
 pub const HEADER: &str = "x-bluebellgap-verdict";
@@ -14,7 +15,7 @@
 /// assert_eq!(Verdict::NotRun.to_string(), "not-run");
 /// assert_eq!(Verdict::parse("may-have-run"), Some(Verdict::MayHaveRun));
 /// ```
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
 pub enum Verdict {
     /// Proved: the request was never handed to a target.
     #[display("not-run")]
@@ -37,7 +38,7 @@
 }
 
 /// Why a request was refused or lost.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
 pub enum Reason {
     /// The node has no bundle in force yet.
     #[display("no configuration in force")]
@@ -81,10 +82,25 @@
     /// The caller's node sheds load before it leaves the node.
     #[display("shed at the caller's node")]
     Shed,
+    /// The node beside the target cannot be reached.
+    #[display("target's node unreachable")]
+    Unreachable,
+    /// The target itself said that it did not run the request.
+    #[display("rejected by the target")]
+    Rejected,
+    /// The target's answer was cut short, or is not an answer to this request.
+    #[display("answer spoiled")]
+    Spoiled,
+    /// The target answered with a failure.
+    #[display("failed at the target")]
+    Failed,
+    /// The caller left.
+    #[display("cancelled by the caller")]
+    Cancelled,
 }
 
 /// A request that was refused or lost: the reason, the verdict and when to try again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
 #[display("{reason} ({verdict})")]
 pub struct Refusal {
     /// Why.
@@ -131,6 +147,7 @@
             Reason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Reason::Deadline if self.verdict == Verdict::MayHaveRun => StatusCode::GATEWAY_TIMEOUT,
             Reason::ConnectionLost => StatusCode::BAD_GATEWAY,
+            _ if self.verdict == Verdict::MayHaveRun => StatusCode::BAD_GATEWAY,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -7,10 +7,10 @@
 use jsonrpsee::proc_macros::rpc;
 use serde::{Deserialize, Serialize};
 
-use crate::platform::Holder;
 use crate::rollout::Span;
 use crate::rollout::{Head, Tally};
 use crate::roster::{Change, Member, Position, Update};
+use crate::store::Holder;
 
 /// A registrar's answer to an announcement.
 #[derive(Clone, Debug, Serialize, Deserialize)]
