--- a/src/directory/book.rs
+++ b/src/directory/book.rs
@@ -11,7 +11,7 @@
 use crate::roster::Presence;
 
 /// Time for which the end of a node is remembered, so that a late message cannot bring it back.
-const DEPARTED_TERM: Duration = Duration::from_secs(60);
+const DEPARTED_TERM: Duration = Duration::from_mins(1);
 
 /// Where the node stands.
 #[derive(Clone, Debug)]
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -87,6 +87,7 @@
         Ok(response) => log::debug!(
             event = "attempt",
             request_id = call.request_id.as_str(),
+            version = call.version,
             node = endpoint.entry.node.as_str(),
             target_id = target,
             status = response.status.as_u16(),
@@ -96,6 +97,7 @@
         Err(refusal) => log::info!(
             event = "attempt_failed",
             request_id = call.request_id.as_str(),
+            version = call.version,
             node = endpoint.entry.node.as_str(),
             target_id = target,
             reason = refusal.reason.to_string().as_str(),
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -36,8 +36,7 @@
 /// Time that must be left for another attempt, in usual run times.
 const MIN_RUNS_LEFT: f64 = 0.4;
 /// Bounds of the time after which callers are told to come back.
-const RETRY_AFTER: (Duration, Duration) =
-    (Duration::from_millis(100), Duration::from_millis(1_000));
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
 /// Pause before targets are looked for again when none is known to serve.
 const NO_TARGET_PAUSE: Duration = Duration::from_millis(50);
 /// Share of the objective for which targets are looked for again.
@@ -158,7 +157,7 @@
                 .directory
                 .rank(&call.service, call.usual, &progress.excluded);
             let Some(endpoint) = ranked.first() else {
-                if progress.refusals == 0 && self.may_look_again(call) {
+                if progress.refusals == 0 && may_look_again(call) {
                     tokio::time::sleep(NO_TARGET_PAUSE).await;
                     progress.excluded.clear();
                     continue;
@@ -166,7 +165,7 @@
                 return progress.end(Refusal::not_run(Reason::NoTarget));
             };
             let patient = progress.refusals >= MAX_REFUSALS || ranked.len() == 1;
-            let patience = self.patience(call, patient);
+            let patience = patience(call, patient);
             let outcome = self.attempt(call, endpoint, patience, &mut progress).await;
             let refusal = match outcome {
                 Ok(response) => return Ok(response),
@@ -182,19 +181,6 @@
         }
     }
 
-    /// How long a target may let the call wait for a slot.
-    fn patience(&self, call: &Call, patient: bool) -> Duration {
-        if patient {
-            return call.left().saturating_sub(call.usual);
-        }
-        call.route.objective.mul_f64(FIRST_PATIENCE_SHARE)
-    }
-
-    /// Whether to wait for a target to appear.
-    fn may_look_again(&self, call: &Call) -> bool {
-        call.began.elapsed() < call.route.objective.mul_f64(NO_TARGET_SHARE)
-    }
-
     /// Whether another attempt is allowed and worth while.
     fn may_go_on(&self, call: &Call, progress: &mut Progress) -> bool {
         if call.left() < call.usual.mul_f64(MIN_RUNS_LEFT) {
@@ -342,6 +328,19 @@
     }
 }
 
+/// How long a target may let the call wait for a slot.
+fn patience(call: &Call, patient: bool) -> Duration {
+    if patient {
+        return call.left().saturating_sub(call.usual);
+    }
+    call.route.objective.mul_f64(FIRST_PATIENCE_SHARE)
+}
+
+/// Whether to wait for a target to appear.
+fn may_look_again(call: &Call) -> bool {
+    call.began.elapsed() < call.route.objective.mul_f64(NO_TARGET_SHARE)
+}
+
 /// What has become of a call so far.
 struct Progress {
     /// Nodes that are not asked again.
--- a/src/link/jobs.rs
+++ b/src/link/jobs.rs
@@ -136,13 +136,6 @@
         }
     }
 
-    /// Number of offers that run or wait.
-    pub(super) fn running(&self) -> usize {
-        let table = self.lock();
-        let running = |state: &&State| matches!(state, State::Running { .. });
-        table.states.values().filter(running).count()
-    }
-
     fn lock(&self) -> MutexGuard<'_, Table> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -47,7 +47,6 @@
 
 #[derive(Default)]
 struct Shared {
-    connected: AtomicBool,
     unreachable: AtomicBool,
     round_trip_us: AtomicU32,
 }
@@ -129,11 +128,6 @@
         self.shared.unreachable.load(Ordering::Relaxed)
     }
 
-    /// Whether a connection stands.
-    pub(crate) fn is_connected(&self) -> bool {
-        self.shared.connected.load(Ordering::Relaxed)
-    }
-
     /// Round trip measured at the last connection, if any.
     pub(crate) fn round_trip(&self) -> Option<Duration> {
         let micros = self.shared.round_trip_us.load(Ordering::Relaxed);
@@ -179,10 +173,8 @@
             }
             match self.connect().await {
                 Ok(session) => {
-                    self.shared.connected.store(true, Ordering::Relaxed);
                     self.shared.unreachable.store(false, Ordering::Relaxed);
                     let ended = self.serve(session, first.take()).await;
-                    self.shared.connected.store(false, Ordering::Relaxed);
                     if ended {
                         return;
                     }
@@ -321,15 +313,13 @@
     /// Whether the peer owes a sign of life for too long; asks for one where it is due.
     fn is_silent(&self, session: &mut Session) -> bool {
         let patience = PONG_TIMEOUT + session.round_trip * PONG_ROUND_TRIPS;
-        match session.pinged {
-            Some(pinged) => pinged.elapsed() > patience,
-            None => {
-                if session.heard.elapsed() > PING_AFTER && !self.pending.is_empty() {
-                    session.ping();
-                }
-                false
-            }
+        if let Some(pinged) = session.pinged {
+            return pinged.elapsed() > patience;
+        }
+        if session.heard.elapsed() > PING_AFTER && !self.pending.is_empty() {
+            session.ping();
         }
+        false
     }
 
     /// The peer cannot be reached: what was not sent has not run, what may be repeated is given
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,7 @@
 //! Client of the platform's store. A row `TABLE/KEY` of the product is the row `KEY` with an empty
 //! `part` in the table `TABLE`.
 
+use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -163,7 +164,7 @@
         if byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte) {
             escaped.push(char::from(byte));
         } else {
-            escaped.push_str(&format!("%{byte:02X}"));
+            let _ = write!(escaped, "%{byte:02X}");
         }
     }
     escaped
--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -37,7 +37,7 @@
 impl Hub {
     pub(crate) fn new(
         own: Entry,
-        directory: Arc<Directory>,
+        directory: &Arc<Directory>,
         side: Arc<Side>,
         versions: Arc<Versions>,
         suspicions: Arc<Suspicions>,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -64,12 +64,12 @@
         let histograms = Arc::new(Histograms::default());
         let suspicions = Arc::new(Suspicions::default());
         let versions = Arc::new(Versions::new(dialect.clone()));
-        let (crashed, crashes) = mpsc::unbounded_channel();
+        let (report_crash, crashes) = mpsc::unbounded_channel();
         let side = Side::new(
             settings.target,
             dialect.clone(),
             suspicions.clone(),
-            crashed,
+            report_crash,
         );
         let directory = Arc::new(Directory::new(Place {
             node: settings.node.clone(),
@@ -88,7 +88,7 @@
         );
         let hub = Hub::new(
             own,
-            directory.clone(),
+            &directory,
             side.clone(),
             versions.clone(),
             suspicions.clone(),
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -129,12 +129,11 @@
         let mut seeds = Vec::new();
         for section in self.document.of_kind("seeds") {
             for entry in &section.entries {
-                match entry.value.parse() {
-                    Ok(seed) => seeds.push(seed),
-                    Err(_) => {
-                        let message = format!("'{}' found, expected {ADDRESS}", entry.value);
-                        self.faults.add(section, &entry.key, message);
-                    }
+                if let Ok(seed) = entry.value.parse() {
+                    seeds.push(seed);
+                } else {
+                    let message = format!("'{}' found, expected {ADDRESS}", entry.value);
+                    self.faults.add(section, &entry.key, message);
                 }
             }
         }
--- a/src/target/connection.rs
+++ b/src/target/connection.rs
@@ -16,7 +16,7 @@
 const IDLE_LIMIT: Duration = Duration::from_secs(4);
 /// Idle time up to which a connection may carry a request that must not be repeated: a target that
 /// closes an idle connection could otherwise lose it.
-const FRESH_LIMIT: Duration = Duration::from_millis(1_000);
+const FRESH_LIMIT: Duration = Duration::from_secs(1);
 /// Idle connections kept at most.
 const MAX_IDLE: usize = 24;
 /// Largest answer that is held, in bytes.
--- a/src/telemetry/lines/tests.rs
+++ b/src/telemetry/lines/tests.rs
@@ -38,7 +38,7 @@
 #[test]
 fn lines_are_bounded_and_the_last_are_kept_for_warnings() {
     let mut rate = Rate::new();
-    let granted = (0..5_000).filter(|_| rate.take(false)).count();
-    assert!((granted as f64) <= BURST_LINES, "{granted}");
+    let granted: f64 = (0..5_000).filter(|_| rate.take(false)).map(|_| 1.0).sum();
+    assert!(granted <= BURST_LINES, "{granted}");
     assert!(rate.take(true));
 }
