Prefer near targets by a share of the route's objective; count calls of repeats

Change: preference 0.15 (region) and 0.35 (other region) of the objective; each node counts its target's calls as repeats by the share of repeats that run there.

--- a/src/directory/book.rs
+++ b/src/directory/book.rs
@@ -28,24 +28,25 @@
 /// preferred beyond that, for the price of traffic.
 struct Distance {
     round_trip: Duration,
-    preference: Duration,
+    /// Share of the latency objective that a nearer target may be slower.
+    preference: f64,
 }
 
 const SAME_NODE: Distance = Distance {
     round_trip: Duration::ZERO,
-    preference: Duration::ZERO,
+    preference: 0.0,
 };
 const SAME_CENTER: Distance = Distance {
     round_trip: Duration::from_micros(500),
-    preference: Duration::ZERO,
+    preference: 0.0,
 };
 const SAME_REGION: Distance = Distance {
     round_trip: Duration::from_millis(3),
-    preference: Duration::from_millis(20),
+    preference: 0.15,
 };
 const OTHER_REGION: Distance = Distance {
     round_trip: Duration::from_millis(60),
-    preference: Duration::from_millis(40),
+    preference: 0.35,
 };
 
 #[derive(Default)]
@@ -200,6 +201,7 @@
         &self,
         service: &str,
         expected: Duration,
+        objective: Duration,
         excluded: &[String],
     ) -> Vec<Arc<Endpoint>> {
         let by_service = self.by_service.load();
@@ -212,7 +214,7 @@
         let mut ranked: Vec<(Duration, &Arc<Endpoint>)> = endpoints
             .iter()
             .filter(usable)
-            .map(|endpoint| (endpoint.cost(expected), endpoint))
+            .map(|endpoint| (endpoint.cost(expected, objective), endpoint))
             .collect();
         ranked.sort_by_key(|(cost, _)| *cost);
         ranked.into_iter().map(|(_, e)| e.clone()).collect()
--- a/src/directory/endpoint.rs
+++ b/src/directory/endpoint.rs
@@ -67,7 +67,7 @@
     pub(super) since: Instant,
     pub(super) record: Arc<Record>,
     pub(super) distance: Duration,
-    pub(super) preference: Duration,
+    pub(super) preference: f64,
 }
 
 /// A request in flight at a target; ends when dropped.
@@ -129,7 +129,7 @@
 
     /// Time in which a request whose route usually takes `expected` is likely to be answered, with
     /// the preference for near targets.
-    pub(crate) fn cost(&self, expected: Duration) -> Duration {
+    pub(crate) fn cost(&self, expected: Duration, objective: Duration) -> Duration {
         let opinion = *self.record.lock();
         let slots = f64::from(self.slots());
         let occupancy = self.occupancy(&opinion);
@@ -149,7 +149,8 @@
         {
             seconds += run;
         }
-        self.round_trip() + self.preference + Duration::from_secs_f64(seconds)
+        seconds += self.preference * objective.as_secs_f64();
+        self.round_trip() + Duration::from_secs_f64(seconds)
     }
 
     fn slots(&self) -> u32 {
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -27,8 +27,9 @@
     call: &Call,
     endpoint: &Endpoint,
     patience: Duration,
+    repeated: bool,
 ) -> Outcome {
-    let offer = call.offer(patience);
+    let offer = call.offer(patience, repeated);
     let in_flight = endpoint.begin();
     let began = Instant::now();
     let limit = offer.left + REPLY_GRACE;
--- a/src/forward/budget.rs
+++ b/src/forward/budget.rs
@@ -7,9 +7,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-/// Share of the budget that is used: repeats make calls of their own that count as repeats too, and
-/// the nodes' counts differ.
-const USED_SHARE: f64 = 0.6;
+/// Share of the budget that is used: the nodes' counts are estimates, and some start anew.
+const USED_SHARE: f64 = 0.7;
 /// Repeats that a node may always have in a window: a share of a small budget below one would
 /// forbid all.
 const MIN_SLACK: f64 = 1.0;
@@ -28,7 +27,10 @@
 #[derive(Default)]
 struct Counts {
     requests: VecDeque<Instant>,
+    /// Repeats of this node.
     repeats: VecDeque<Instant>,
+    /// Requests that repeated requests made, by their likelihood.
+    inherited: VecDeque<(Instant, f64)>,
 }
 
 /// This node's part of the budget, by service.
@@ -45,12 +47,16 @@
         }
     }
 
-    /// Counts a request to a service.
-    pub(super) fn request(&self, service: &str) {
+    /// Counts a request to a service, which with likelihood `inherited` was made by a request that
+    /// was itself repeated.
+    pub(super) fn request(&self, service: &str, inherited: f64) {
         let mut counts = self.lock();
         let counts = entry(&mut counts, service);
         counts.forget(self.limits.window);
         counts.requests.push_back(Instant::now());
+        if inherited > 0.0 {
+            counts.inherited.push_back((Instant::now(), inherited));
+        }
     }
 
     /// Takes a repeat out of the budget, if there is one left; `nodes` share it.
@@ -58,7 +64,7 @@
         let mut counts = self.lock();
         let counts = entry(&mut counts, service);
         counts.forget(self.limits.window);
-        if to_f64(counts.repeats.len()) + 1.0 > self.allowed(counts, nodes) {
+        if counts.spent() + 1.0 > self.allowed(counts, nodes) {
             return false;
         }
         counts.repeats.push_back(Instant::now());
@@ -70,7 +76,7 @@
         let mut counts = self.lock();
         let counts = entry(&mut counts, service);
         counts.forget(self.limits.window);
-        self.allowed(counts, nodes) - to_f64(counts.repeats.len())
+        self.allowed(counts, nodes) - counts.spent()
     }
 
     fn allowed(&self, counts: &Counts, nodes: usize) -> f64 {
@@ -98,6 +104,16 @@
                 times.pop_front();
             }
         }
+        let old = |(at, _): &(Instant, f64)| at.elapsed() > window;
+        while self.inherited.front().is_some_and(old) {
+            self.inherited.pop_front();
+        }
+    }
+
+    /// Repeats in the window.
+    fn spent(&self) -> f64 {
+        let inherited: f64 = self.inherited.iter().map(|(_, share)| share).sum();
+        to_f64(self.repeats.len()) + inherited
     }
 }
 
--- a/src/forward/call.rs
+++ b/src/forward/call.rs
@@ -68,7 +68,7 @@
     }
 
     /// The request as it is offered to a target's node.
-    pub(super) fn offer(&self, patience: Duration) -> Offer {
+    pub(super) fn offer(&self, patience: Duration, repeated: bool) -> Offer {
         Offer {
             ticket: rand::random(),
             service: self.service.clone(),
@@ -77,6 +77,7 @@
             caller_service: self.caller_service.clone(),
             message: self.message.clone(),
             idempotent: self.route.idempotent,
+            repeated,
             rank: self.route.rank,
             patience,
             objective: self.objective_left(),
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -136,7 +136,8 @@
         if self.suspicions.refuses(call.fingerprint) {
             return Err(Refusal::not_run(Reason::Suspected));
         }
-        self.budget.request(&call.service);
+        self.budget
+            .request(&call.service, self.side.repeated_share());
         let answer = self.dispatch(&call).await;
         if let Ok(response) = &answer
             && response.status.is_success()
@@ -153,9 +154,12 @@
     async fn dispatch(&self, call: &Call) -> Result<Response, Refusal> {
         let mut progress = Progress::default();
         loop {
-            let ranked = self
-                .directory
-                .rank(&call.service, call.usual, &progress.excluded);
+            let ranked = self.directory.rank(
+                &call.service,
+                call.usual,
+                call.route.objective,
+                &progress.excluded,
+            );
             let Some(endpoint) = ranked.first() else {
                 if progress.refusals == 0 && may_look_again(call) {
                     tokio::time::sleep(NO_TARGET_PAUSE).await;
@@ -208,7 +212,7 @@
         patience: Duration,
         progress: &mut Progress,
     ) -> Result<Response, Refusal> {
-        let first = attempt::run(&self.side, call, endpoint, patience);
+        let first = attempt::run(&self.side, call, endpoint, patience, progress.reached > 0);
         tokio::pin!(first);
         if !call.route.idempotent {
             return self.conclude(call, first.await, progress);
@@ -234,7 +238,7 @@
             second = other.entry.node.as_str();
             "first target is late"
         );
-        let second = attempt::run(&self.side, call, &other, Duration::ZERO);
+        let second = attempt::run(&self.side, call, &other, Duration::ZERO, true);
         tokio::pin!(second);
         let (outcome, first_ended) = tokio::select! {
             outcome = &mut first => (outcome, true),
@@ -269,7 +273,9 @@
     ) -> Option<Arc<Endpoint>> {
         let mut excluded = progress.excluded.clone();
         excluded.push(first.entry.node.clone());
-        let ranked = self.directory.rank(&call.service, call.usual, &excluded);
+        let ranked =
+            self.directory
+                .rank(&call.service, call.usual, call.route.objective, &excluded);
         let other = ranked.into_iter().next()?;
         let nodes = self.directory.len();
         let allowed = progress.reached + 1 < call.route.attempts
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -125,6 +125,8 @@
     pub message: Message,
     /// Whether running it twice is harmless.
     pub idempotent: bool,
+    /// Whether another target may have run it before.
+    pub repeated: bool,
     /// Rank of the route; 0 goes first.
     pub rank: u32,
     /// Longest wait for a slot.
--- a/src/target/side.rs
+++ b/src/target/side.rs
@@ -36,6 +36,7 @@
     down_until: Mutex<Option<Instant>>,
     leaving: AtomicBool,
     running: AtomicU32,
+    repeated: AtomicU32,
     idle: Notify,
     lost: Mutex<Vec<u64>>,
     crashes: AtomicU64,
@@ -62,6 +63,7 @@
             down_until: Mutex::new(None),
             leaving: AtomicBool::new(false),
             running: AtomicU32::new(0),
+            repeated: AtomicU32::new(0),
             idle: Notify::new(),
             lost: Mutex::default(),
             crashes: AtomicU64::new(0),
@@ -179,6 +181,14 @@
         }
     }
 
+    /// Share of repeats among the requests at the target: the likelihood that a request which the
+    /// target makes belongs to a repeat.
+    pub(crate) fn repeated_share(&self) -> f64 {
+        let running = self.running.load(Ordering::Relaxed);
+        let repeated = self.repeated.load(Ordering::Relaxed);
+        f64::from(repeated) / f64::from(running.max(1))
+    }
+
     /// Waits until no request is at the target or waits for it.
     pub(crate) async fn idle(&self) {
         loop {
@@ -194,7 +204,7 @@
     /// repeated and has begun.
     pub(crate) async fn run(self: &Arc<Self>, offer: Offer) -> Result<Response, Refusal> {
         let began = Instant::now();
-        let _running = Running::new(self.clone());
+        let _running = Running::new(self.clone(), offer.repeated);
         if self.suspicions.refuses(offer.fingerprint) {
             return Err(Refusal::not_run(Reason::Suspected));
         }
@@ -220,7 +230,7 @@
         }
         let side = self.clone();
         let sending = tokio::spawn(async move {
-            let _running = Running::new(side.clone());
+            let _running = Running::new(side.clone(), false);
             side.send(offer, &id, left, permit).await
         });
         let lost = Refusal::may_have_run(Reason::ConnectionLost);
@@ -384,19 +394,27 @@
 }
 
 /// Counts a request from its arrival to its end.
-struct Running(Arc<Side>);
+struct Running {
+    side: Arc<Side>,
+    repeated: bool,
+}
 
 impl Running {
-    fn new(side: Arc<Side>) -> Self {
+    fn new(side: Arc<Side>, repeated: bool) -> Self {
         side.running.fetch_add(1, Ordering::Relaxed);
-        Self(side)
+        side.repeated
+            .fetch_add(u32::from(repeated), Ordering::Relaxed);
+        Self { side, repeated }
     }
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
-        if self.0.running.fetch_sub(1, Ordering::Relaxed) == 1 {
-            self.0.idle.notify_waiters();
+        self.side
+            .repeated
+            .fetch_sub(u32::from(self.repeated), Ordering::Relaxed);
+        if self.side.running.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.side.idle.notify_waiters();
         }
     }
 }
