--- a/src/directory/book.rs
+++ b/src/directory/book.rs
@@ -42,11 +42,11 @@
 };
 const SAME_REGION: Distance = Distance {
     round_trip: Duration::from_millis(3),
-    preference: 0.15,
+    preference: 0.6,
 };
 const OTHER_REGION: Distance = Distance {
     round_trip: Duration::from_millis(60),
-    preference: 0.35,
+    preference: 1.4,
 };
 
 #[derive(Default)]
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -92,6 +92,7 @@
             node = endpoint.entry.node.as_str(),
             target_id = target,
             status = response.status.as_u16(),
+            bytes = response.body.len(),
             took_ms = took_ms;
             ""
         ),
--- a/src/forward/budget.rs
+++ b/src/forward/budget.rs
@@ -7,8 +7,10 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-/// Share of the budget that is used: the nodes' counts are estimates, and some start anew.
-const USED_SHARE: f64 = 0.7;
+/// Share of the budget that is used for repeats of this node. The rest is left for requests that
+/// repeated requests make, which are counted but cannot be held back, and for nodes that start anew
+/// and so count too little.
+const USED_SHARE: f64 = 0.55;
 /// Repeats that a node may always have in a window: a share of a small budget below one would
 /// forbid all.
 const MIN_SLACK: f64 = 1.0;
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -28,7 +28,7 @@
 /// Refusals for load after which a request waits at the best target instead of asking more.
 const MAX_REFUSALS: usize = 4;
 /// Share of the objective after which an idempotent request is also sent to a second target.
-const HEDGE_SHARE: f64 = 0.45;
+const HEDGE_SHARE: f64 = 0.6;
 /// Usual run times after which it is, if that is later.
 const HEDGE_RUNS: f64 = 2.0;
 /// Repeats that hedges leave in the budget for requests that were lost.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 mod proxy;
 mod route;
 mod target;
+mod trial;
 mod version;
 mod wire;
 
--- a/src/version.rs
+++ b/src/version.rs
@@ -81,6 +81,7 @@
             event = "version_in_force",
             version = version.0,
             routes = routes,
+            bytes = bytes.len(),
             source = source;
             ""
         );
