Versions between nodes as compressed deltas, after the feed had its time

Change: a peer is asked only after 700 ms without the feed, or while the store is away; versions are compressed against the asker's; news stays in the data centre while the store answers.

--- a/src/directory/book.rs
+++ b/src/directory/book.rs
@@ -189,9 +189,17 @@
         links.collect()
     }
 
-    /// Sends news to all other nodes.
-    pub(crate) fn broadcast(&self, news: &News) {
-        for link in self.links() {
+    /// Sends news to the other nodes of this data centre, or to all.
+    pub(crate) fn broadcast(&self, news: &News, everywhere: bool) {
+        let links: Vec<Arc<Link>> = {
+            let state = self.lock();
+            let near = |endpoint: &&Arc<Endpoint>| {
+                everywhere || endpoint.entry.data_center == self.place.data_center
+            };
+            let endpoints = state.endpoints.values().filter(near);
+            endpoints.filter_map(|e| e.link.clone()).collect()
+        };
+        for link in links {
             link.tell(news.clone());
         }
     }
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -232,6 +232,17 @@
     pub cleared: Vec<u64>,
 }
 
+/// A version's bytes as the platform holds them, compressed against an earlier version.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Packed {
+    /// Number of the earlier version; 0 if there is none.
+    pub base: u64,
+    /// Number of bytes before compression.
+    pub size: usize,
+    /// Compressed bytes.
+    pub bytes: Vec<u8>,
+}
+
 /// End of one offer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum Reply {
@@ -265,8 +276,8 @@
     FetchRoster,
     /// Asks for the version in force, if it is higher than the given one.
     FetchVersion(u64),
-    /// A version's bytes as the platform holds them.
-    Version(Vec<u8>),
+    /// A version, compressed.
+    Version(Packed),
 }
 
 /// Frames on a byte stream.
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -11,7 +11,7 @@
 mod server;
 mod session;
 
-pub(crate) use frame::{Entry, Hello, Load, Message, News, Offer, Reply, Status, Target};
+pub(crate) use frame::{Entry, Hello, Load, Message, News, Offer, Packed, Reply, Status, Target};
 pub(crate) use peer::Link;
 pub(crate) use server::{Service, listen};
 
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -9,7 +9,7 @@
 
 use crate::error::{Error, Result};
 use crate::h1;
-use crate::link::frame::{Entry, Frame, Hello, News, Offer, Reply, Status, Ticket};
+use crate::link::frame::{Entry, Frame, Hello, News, Offer, Packed, Reply, Status, Ticket};
 use crate::link::jobs::Jobs;
 use crate::link::session::{self, Sender};
 use crate::verdict::{Reason, Refusal};
@@ -41,11 +41,11 @@
     /// All entries that this node knows.
     fn roster(&self) -> News;
 
-    /// Bytes of the version in force if it is above `version`.
-    fn version_above(&self, version: u64) -> Option<Vec<u8>>;
+    /// The version in force if it is above `version`, which the asker has.
+    fn version_above(&self, version: u64) -> Option<Packed>;
 
-    /// Takes the bytes of a version.
-    fn learn_version(&self, bytes: &[u8]);
+    /// Takes a version.
+    fn learn_version(&self, packed: &Packed);
 }
 
 /// Answers what any side of a link may be asked. Returns the frame if it is none of that.
@@ -65,11 +65,11 @@
             sender.send(Frame::News(Box::new(service.roster())));
         }
         Frame::FetchVersion(known) => {
-            if let Some(bytes) = service.version_above(known) {
-                sender.send(Frame::Version(bytes));
+            if let Some(packed) = service.version_above(known) {
+                sender.send(Frame::Version(packed));
             }
         }
-        Frame::Version(bytes) => service.learn_version(&bytes),
+        Frame::Version(packed) => service.learn_version(&packed),
         other => return Some(other),
     }
     None
--- a/src/rollout/shelf.rs
+++ b/src/rollout/shelf.rs
@@ -121,9 +121,14 @@
 
 /// Reverses [`compress`]; at most [`MAX_BUNDLE_BYTES`] come out.
 pub(crate) fn decompress(packed: &[u8], base: Option<&[u8]>) -> Result<Bytes> {
+    decompress_within(packed, base, MAX_BUNDLE_BYTES)
+}
+
+/// Reverses [`compress`]; at most `limit` bytes come out, for which room is made at once.
+pub(crate) fn decompress_within(packed: &[u8], base: Option<&[u8]>, limit: usize) -> Result<Bytes> {
     let mut decompressor = zstd::bulk::Decompressor::with_dictionary(base.unwrap_or_default())?;
     let bytes = decompressor
-        .decompress(packed, MAX_BUNDLE_BYTES)
+        .decompress(packed, limit)
         .map_err(|error| Error::Bundle(format!("cannot be decompressed: {error}")))?;
     Ok(bytes.into())
 }
--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -1,6 +1,6 @@
 //! What the node hears from and tells other nodes.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -9,15 +9,49 @@
 
 use crate::directory::Directory;
 use crate::h1::Response;
-use crate::link::{Entry, Hello, News, Offer, Service, Status, Target};
+use crate::link::{Entry, Hello, News, Offer, Packed, Service, Status, Target};
 use crate::roster::{Crash, Presence, Suspicions};
 use crate::target::Side;
 use crate::verdict::Refusal;
 use crate::version::Versions;
 
-/// Pause between questions for the same version, so that not every message of a newer peer asks.
+/// Time for the store's feed to bring a version that another node already has, before that node is
+/// asked for it: about twice what the feed usually takes.
+const FEED_PATIENCE: Duration = Duration::from_millis(700);
+/// Pause between questions for a version, so that not every message of a newer peer asks.
 const ASK_PAUSE: Duration = Duration::from_millis(300);
 
+/// Versions that other nodes have and this one lacks.
+#[derive(Default)]
+struct Behind {
+    /// Highest version that any node was heard to have.
+    highest: u64,
+    /// Since when this node lacks one.
+    since: Option<Instant>,
+    asked: Option<Instant>,
+}
+
+impl Behind {
+    /// Takes the version of another node; returns whether to ask that node for it. The store's feed
+    /// comes first, unless the store is away.
+    fn hear(&mut self, version: u64, own: u64, away: bool) -> bool {
+        self.highest = self.highest.max(version);
+        if own >= self.highest {
+            self.since = None;
+        }
+        if version <= own {
+            return false;
+        }
+        let since = *self.since.get_or_insert_with(Instant::now);
+        let lately = self.asked.is_some_and(|at| at.elapsed() < ASK_PAUSE);
+        if lately || !away && own > 0 && since.elapsed() < FEED_PATIENCE {
+            return false;
+        }
+        self.asked = Some(Instant::now());
+        true
+    }
+}
+
 /// The node among other nodes.
 pub(crate) struct Hub {
     pub directory: Arc<Directory>,
@@ -29,9 +63,7 @@
     /// Whether the store answers.
     pub store_answers: AtomicBool,
     own: Mutex<Entry>,
-    asked: Mutex<Option<(u64, Instant)>>,
-    /// Highest version that any node was heard to have.
-    heard_version: AtomicU64,
+    behind: Mutex<Behind>,
 }
 
 impl Hub {
@@ -50,8 +82,7 @@
             announce: Notify::new(),
             store_answers: AtomicBool::new(true),
             own: Mutex::new(own.clone()),
-            asked: Mutex::new(None),
-            heard_version: AtomicU64::new(0),
+            behind: Mutex::default(),
         });
         directory.connect(hub.clone());
         directory.learn(vec![own]);
@@ -88,7 +119,9 @@
             entries: vec![entry],
             ..News::default()
         };
-        self.directory.broadcast(&news);
+        // The store's feed tells other data centres, and costs less than a message to each node.
+        let away = !self.store_answers.load(Ordering::Relaxed);
+        self.directory.broadcast(&news, away);
         self.announce.notify_one();
     }
 
@@ -134,7 +167,7 @@
             crashes: vec![crash],
             ..News::default()
         };
-        self.directory.broadcast(&news);
+        self.directory.broadcast(&news, true);
     }
 
     /// What the node says of itself with every message.
@@ -147,7 +180,7 @@
 
     /// Whether some node has a higher version than this one.
     pub(crate) fn is_behind(&self) -> bool {
-        self.heard_version.load(Ordering::Relaxed) > self.versions.number()
+        lock(&self.behind).highest > self.versions.number()
     }
 }
 
@@ -168,19 +201,9 @@
         if let Some(endpoint) = self.directory.find(node) {
             endpoint.note_load(status.load);
         }
-        self.heard_version
-            .fetch_max(status.version, Ordering::Relaxed);
-        if status.version <= self.versions.number() {
-            return false;
-        }
-        let mut asked = lock(&self.asked);
-        let lately = asked
-            .is_some_and(|(version, at)| version >= status.version && at.elapsed() < ASK_PAUSE);
-        if lately {
-            return false;
-        }
-        *asked = Some((status.version, Instant::now()));
-        true
+        let own = self.versions.number();
+        let away = !self.store_answers.load(Ordering::Relaxed);
+        lock(&self.behind).hear(status.version, own, away)
     }
 
     fn learn(&self, news: News) {
@@ -200,13 +223,23 @@
         }
     }
 
-    fn version_above(&self, version: u64) -> Option<Vec<u8>> {
-        let in_force = self.versions.in_force().load_full()?;
-        (in_force.version.0 > version).then(|| in_force.bytes.clone())
+    fn version_above(&self, version: u64) -> Option<Packed> {
+        match self.versions.pack_above(version) {
+            Ok(packed) => packed,
+            Err(error) => {
+                log::warn!(event = "version_not_packed"; "{error}");
+                None
+            }
+        }
     }
 
-    fn learn_version(&self, bytes: &[u8]) {
-        self.versions.take(bytes, "peer");
+    fn learn_version(&self, packed: &Packed) {
+        match self.versions.unpack(packed) {
+            Ok(bytes) => {
+                self.versions.take(&bytes, "peer");
+            }
+            Err(error) => log::warn!(event = "version_rejected", source = "peer"; "{error}"),
+        }
     }
 }
 
--- a/src/version.rs
+++ b/src/version.rs
@@ -1,12 +1,17 @@
 //! The version that decides on requests, as the platform holds it.
 
-use std::sync::Arc;
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
+use bytes::Bytes;
 use tokio::sync::watch;
 
-use crate::bundle::{Bundle, Version};
+use crate::bundle::{Bundle, MAX_BUNDLE_BYTES, Version};
 use crate::dialect::Dialect;
+use crate::error::{Error, Result};
+use crate::link::Packed;
+use crate::rollout::{compress, decompress_within};
 use crate::route::Table;
 
 /// A version in force.
@@ -21,11 +26,17 @@
     pub bytes: Vec<u8>,
 }
 
+/// Versions that are kept to compress later ones against: those that other nodes are likely to
+/// have during a series of changes.
+const KEPT: usize = 4;
+
 /// Takes versions whole, and only higher ones.
 pub(crate) struct Versions {
     dialect: Arc<dyn Dialect>,
     in_force: Arc<ArcSwapOption<InForce>>,
     changed: watch::Sender<u64>,
+    /// The latest versions, newest last.
+    recent: Mutex<VecDeque<Arc<InForce>>>,
 }
 
 impl Versions {
@@ -34,6 +45,7 @@
             dialect,
             in_force: Arc::new(ArcSwapOption::empty()),
             changed: watch::channel(0).0,
+            recent: Mutex::default(),
         }
     }
 
@@ -47,6 +59,58 @@
         *self.changed.borrow()
     }
 
+    fn keep(&self, in_force: Arc<InForce>) {
+        let mut recent = self.recent();
+        if recent.len() == KEPT {
+            recent.pop_front();
+        }
+        recent.push_back(in_force);
+    }
+
+    /// The version in force, compressed, if it is above `version`, which the asker has.
+    pub(crate) fn pack_above(&self, version: u64) -> Result<Option<Packed>> {
+        let in_force = self.in_force.load_full();
+        let Some(in_force) = in_force.filter(|in_force| in_force.version.0 > version) else {
+            return Ok(None);
+        };
+        let base = self.find(version);
+        let bytes = compress(&in_force.bytes, base.as_ref().map(|base| &base.bytes[..]))?;
+        Ok(Some(Packed {
+            base: base.map_or(0, |base| base.version.0),
+            size: in_force.bytes.len(),
+            bytes: bytes.to_vec(),
+        }))
+    }
+
+    /// Bytes of a version that another node has compressed.
+    pub(crate) fn unpack(&self, packed: &Packed) -> Result<Bytes> {
+        let base = self.find(packed.base);
+        if packed.base > 0 && base.is_none() {
+            return Err(Error::Bundle(format!(
+                "version {} is not kept",
+                packed.base
+            )));
+        }
+        let limit = packed.size.min(MAX_BUNDLE_BYTES);
+        decompress_within(
+            &packed.bytes,
+            base.as_ref().map(|base| &base.bytes[..]),
+            limit,
+        )
+    }
+
+    fn find(&self, version: u64) -> Option<Arc<InForce>> {
+        let recent = self.recent();
+        recent
+            .iter()
+            .find(|kept| kept.version.0 == version)
+            .cloned()
+    }
+
+    fn recent(&self) -> MutexGuard<'_, VecDeque<Arc<InForce>>> {
+        self.recent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes a version; returns whether it is in force now. One that is not higher, or not valid as
     /// a whole, changes nothing.
     pub(crate) fn take(&self, bytes: &[u8], source: &str) -> bool {
@@ -73,7 +137,9 @@
             if version.0 <= *number {
                 return false;
             }
-            self.in_force.store(Some(Arc::new(in_force)));
+            let in_force = Arc::new(in_force);
+            self.in_force.store(Some(in_force.clone()));
+            self.keep(in_force);
             *number = version.0;
             true
         });
