One node of each data centre reads the store for its neighbours

Weighed: leases (a write each renewal, and a term to wait out), one reader a region (two hops of detection within 2.5 s), a longer wait of each poll (a silent store is noticed later). Chosen: a rank that all nodes share, signs of life inside the data centre, which are not billed; two readers at a time do no harm.

--- a/src/directory/book.rs
+++ b/src/directory/book.rs
@@ -1,6 +1,7 @@
 //! All entries that the node knows.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -65,6 +66,7 @@
     service: OnceLock<Arc<dyn Service>>,
     state: Mutex<State>,
     by_service: ArcSwap<ByService>,
+    digest: AtomicU64,
 }
 
 impl Directory {
@@ -74,6 +76,7 @@
             service: OnceLock::new(),
             state: Mutex::default(),
             by_service: ArcSwap::default(),
+            digest: AtomicU64::new(0),
         }
     }
 
@@ -172,6 +175,20 @@
         state.endpoints.values().map(|e| e.entry.clone()).collect()
     }
 
+    /// Digest of all entries; equal where two nodes know the same.
+    pub(crate) fn digest(&self) -> u64 {
+        self.digest.load(Ordering::Relaxed)
+    }
+
+    /// Names and incarnations of the nodes in this data centre, this node included.
+    pub(crate) fn neighbours(&self) -> Vec<(String, u64)> {
+        let state = self.lock();
+        let near = |e: &&Arc<Endpoint>| e.entry.data_center == self.place.data_center;
+        let near = state.endpoints.values().filter(near);
+        near.map(|e| (e.entry.node.clone(), e.entry.incarnation))
+            .collect()
+    }
+
     /// One endpoint by its node's name.
     pub(crate) fn find(&self, node: &str) -> Option<Arc<Endpoint>> {
         self.lock().endpoints.get(node).cloned()
@@ -189,15 +206,20 @@
         links.collect()
     }
 
+    /// Links to the other nodes of this data centre.
+    pub(crate) fn near_links(&self) -> Vec<Arc<Link>> {
+        let state = self.lock();
+        let near = |e: &&Arc<Endpoint>| e.entry.data_center == self.place.data_center;
+        let near = state.endpoints.values().filter(near);
+        near.filter_map(|e| e.link.clone()).collect()
+    }
+
     /// Sends news to the other nodes of this data centre, or to all.
     pub(crate) fn broadcast(&self, news: &News, everywhere: bool) {
-        let links: Vec<Arc<Link>> = {
-            let state = self.lock();
-            let near = |endpoint: &&Arc<Endpoint>| {
-                everywhere || endpoint.entry.data_center == self.place.data_center
-            };
-            let endpoints = state.endpoints.values().filter(near);
-            endpoints.filter_map(|e| e.link.clone()).collect()
+        let links = if everywhere {
+            self.links()
+        } else {
+            self.near_links()
         };
         for link in links {
             link.tell(news.clone());
@@ -240,6 +262,9 @@
             }
         }
         self.by_service.store(Arc::new(by_service));
+        let digests = state.endpoints.values().map(|e| e.entry.digest());
+        let digest = digests.fold(0, |sum, digest| sum ^ digest);
+        self.digest.store(digest, Ordering::Relaxed);
     }
 
     fn distance(&self, entry: &Entry) -> Distance {
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::error::Error;
 use crate::h1;
@@ -180,6 +181,15 @@
 }
 
 impl Entry {
+    /// Digest of the node's name, incarnation and revision.
+    pub(crate) fn digest(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        hash.update(self.node.as_bytes());
+        hash.update(&self.incarnation.to_le_bytes());
+        hash.update(&self.revision.to_le_bytes());
+        hash.digest()
+    }
+
     /// Whether this entry replaces `other`, an entry of the same node.
     pub(crate) fn is_newer_than(&self, other: &Self) -> bool {
         (self.incarnation, self.revision) > (other.incarnation, other.revision)
@@ -208,6 +218,10 @@
 pub(crate) struct Status {
     /// Version in force, 0 before the first.
     pub version: u64,
+    /// Whether the sender hears the platform's store.
+    pub hears_store: bool,
+    /// Digest of the entries that the sender knows.
+    pub roster: u64,
     /// Load of the target.
     pub load: Load,
 }
@@ -226,6 +240,8 @@
 pub(crate) struct News {
     /// Entries that changed.
     pub entries: Vec<Entry>,
+    /// Nodes that are gone for good, with their last incarnations.
+    pub gone: Vec<(String, u64)>,
     /// Crashes of targets.
     pub crashes: Vec<Crash>,
     /// Fingerprints that completed after they were suspected.
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -13,7 +13,7 @@
 
 pub(crate) use frame::{Entry, Hello, Load, Message, News, Offer, Packed, Reply, Status, Target};
 pub(crate) use peer::Link;
-pub(crate) use server::{Service, listen};
+pub(crate) use server::{Service, Wanted, listen};
 
 #[cfg(test)]
 mod tests;
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::link::frame::{Entry, Frame, News, Offer, Reply, Ticket};
+use crate::link::frame::{Entry, Frame, News, Offer, Packed, Reply, Ticket};
 use crate::link::server::{Service, answer_common, hear};
 use crate::link::session::{self, Receiver, Sender};
 use crate::verdict::{Reason, Refusal};
@@ -112,6 +112,11 @@
             .send(Command::Tell(Frame::News(Box::new(news))));
     }
 
+    /// Sends a version.
+    pub(crate) fn push(&self, packed: Packed) {
+        let _ = self.commands.send(Command::Tell(Frame::Version(packed)));
+    }
+
     /// Asks for the peer's status and entries.
     pub(crate) fn consult(&self) {
         let _ = self.commands.send(Command::Tell(Frame::Ping));
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -22,6 +22,15 @@
 /// on a new one.
 const RECONNECT_GRACE: Duration = Duration::from_millis(1_500);
 
+/// What a node lacks that a peer has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Wanted {
+    /// The version in force.
+    pub version: bool,
+    /// Entries of nodes.
+    pub roster: bool,
+}
+
 /// What a node does with what it hears over links.
 #[async_trait]
 pub(crate) trait Service: Send + Sync + 'static {
@@ -32,8 +41,8 @@
     /// request, unless it must not be repeated and has begun.
     async fn run(&self, offer: Offer) -> Result<h1::Response, Refusal>;
 
-    /// Takes a peer's entry and status; returns whether to ask the peer for its version.
-    fn heard(&self, node: &str, status: Status) -> bool;
+    /// Takes a peer's status; returns what to ask the peer for.
+    fn heard(&self, node: &str, status: Status) -> Wanted;
 
     /// Takes news.
     fn learn(&self, news: News);
@@ -77,9 +86,13 @@
 
 /// Takes a peer's status, and asks for its version where it is newer.
 pub(super) fn hear(service: &dyn Service, peer: &Entry, status: Status, sender: &Sender) {
-    if service.heard(&peer.node, status) {
+    let wanted = service.heard(&peer.node, status);
+    if wanted.version {
         sender.send(Frame::FetchVersion(service.hello().status.version));
     }
+    if wanted.roster {
+        sender.send(Frame::FetchRoster);
+    }
 }
 
 /// Accepts links until `stopped` closes.
--- a/src/sidecar/admin.rs
+++ b/src/sidecar/admin.rs
@@ -27,7 +27,9 @@
 struct Overview {
     own: Entry,
     version: u64,
-    store_answers: bool,
+    /// Node that reads the store for this data centre.
+    watcher: Option<String>,
+    hears_source: bool,
     ready: bool,
     load: Load,
     heartbeat_age_ms: Option<u128>,
@@ -69,7 +71,8 @@
         Overview {
             own: self.hub.own(),
             version: self.hub.versions.number(),
-            store_answers: self.hub.store_answers.load(Ordering::Relaxed),
+            watcher: self.hub.watcher(),
+            hears_source: self.hub.hears_source(),
             ready: self.is_ready(),
             load: self.hub.status().load,
             heartbeat_age_ms: self.hub.side.heartbeat_age().map(|age| age.as_millis()),
@@ -86,10 +89,8 @@
         let gauges = [
             ("version", self.hub.versions.number()),
             ("ready", u64::from(self.is_ready())),
-            (
-                "store_answers",
-                u64::from(self.hub.store_answers.load(Ordering::Relaxed)),
-            ),
+            ("hears_source", u64::from(self.hub.hears_source())),
+            ("is_watcher", u64::from(self.hub.is_watcher())),
             ("nodes", self.hub.directory.len() as u64),
             ("target_running", load.running.into()),
             ("target_queued", load.queued.into()),
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -10,12 +10,22 @@
 use crate::error::Result;
 use crate::link::Entry;
 use crate::sidecar::hub::Hub;
+use crate::sidecar::watcher::PING_PERIOD;
 use crate::store::{Change, Changes, Feed, Row, Table, Transaction};
 
 /// Table of the nodes' entries.
 pub(crate) const NODES: &str = "nodes";
-/// Longest wait of one question for changes. A connection that has gone silent is noticed after it.
-const WAIT: Duration = Duration::from_secs(5);
+/// How long the watcher waits for changes before it asks again. A store that has gone silent is
+/// noticed after it, so it is short for versions, which have to be in force soon.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Wait(Duration);
+
+/// For the operators' versions.
+pub(super) const VERSION_WAIT: Wait = Wait(Duration::from_millis(700));
+/// For the nodes' entries: a node that leaves refuses work by itself.
+pub(super) const ENTRY_WAIT: Wait = Wait(Duration::from_secs(5));
+/// How often a node looks whether it has become the watcher.
+const ROLE_PERIOD: Duration = Duration::from_millis(100);
 /// Pause after changes, so that a quick series is read as one.
 const BATCH_PAUSE: Duration = Duration::from_millis(150);
 /// Pauses after failures, doubled each time up to the last.
@@ -25,18 +35,27 @@
 /// Nodes asked each time.
 const CONSULTED: usize = 2;
 
-/// Follows one table until `stopped` closes, and goes on after every failure.
+/// Follows one table while this node is the watcher, until `stopped` closes. Goes on after every
+/// failure.
 pub(super) async fn follow(
     feed: Arc<dyn Feed>,
     table: &'static str,
+    wait: Wait,
     hub: Arc<Hub>,
-    take: impl Fn(&Hub, &Change) + Send,
+    take: impl Fn(&Hub, &[Change]) + Send + Sync,
     mut stopped: watch::Receiver<()>,
 ) {
     let mut pause = RETRY_PAUSE.0;
     let mut position = None;
     loop {
-        let step = step(feed.as_ref(), table, &hub, &take, position);
+        if !hub.is_watcher() {
+            position = None;
+            tokio::select! {
+                () = tokio::time::sleep(ROLE_PERIOD) => continue,
+                _ = stopped.changed() => return,
+            }
+        }
+        let step = step(feed.as_ref(), table, wait, &hub, &take, position);
         let step = tokio::select! {
             step = step => step,
             _ = stopped.changed() => return,
@@ -61,22 +80,20 @@
 async fn step(
     feed: &dyn Feed,
     table: &str,
+    wait: Wait,
     hub: &Hub,
-    take: &impl Fn(&Hub, &Change),
+    take: &impl Fn(&Hub, &[Change]),
     position: Option<u64>,
 ) -> Result<Option<u64>> {
     let Some(position) = position else {
         let snapshot = feed.snapshot(table).await?;
-        for row in snapshot.rows {
-            take(hub, &Change::Written(row));
-        }
+        let rows: Vec<Change> = snapshot.rows.into_iter().map(Change::Written).collect();
+        take(hub, &rows);
         return Ok(Some(snapshot.position));
     };
-    match feed.changes(table, position, WAIT).await? {
+    match feed.changes(table, position, wait.0).await? {
         Changes::Next { changes, position } => {
-            for change in &changes {
-                take(hub, change);
-            }
+            take(hub, &changes);
             Ok(Some(position))
         }
         Changes::HistoryLost => {
@@ -97,47 +114,62 @@
     }
 }
 
-/// Takes a change of the operators' table.
-pub(super) fn take_version(hub: &Hub, change: &Change, key: &str) {
-    if let Change::Written(row) = change
-        && row.key == key
-    {
-        hub.versions.take(row.value.as_bytes(), "store");
+/// Takes changes of the operators' table, and passes the newest version on.
+pub(super) fn take_version(hub: &Hub, changes: &[Change], key: &str) {
+    let before = hub.versions.number();
+    for change in changes {
+        if let Change::Written(row) = change
+            && row.key == key
+        {
+            hub.versions.take(row.value.as_bytes(), "store");
+        }
+    }
+    if hub.versions.number() > before {
+        hub.pass_on_version(before);
     }
 }
 
-/// Takes a change of the nodes' table.
-pub(super) fn take_entry(hub: &Hub, change: &Change) {
+/// Takes changes of the nodes' table, and passes them on.
+pub(super) fn take_entries(hub: &Hub, changes: &[Change]) {
+    let mut entries = Vec::new();
+    for change in changes {
+        entries.extend(take_entry(hub, change));
+    }
+    if !entries.is_empty() {
+        hub.learn_entries(entries.clone());
+        hub.pass_on_entries(entries);
+    }
+}
+
+fn take_entry(hub: &Hub, change: &Change) -> Option<Entry> {
     match change {
         Change::Written(row) => match row.parse::<Entry>() {
-            Ok(entry) => take_row(hub, row, entry),
+            Ok(entry) => return check_row(hub, row, entry),
             Err(error) => log::warn!(event = "row_rejected", key = row.key.as_str(); "{error}"),
         },
         Change::Deleted(key) => {
             let node = key
                 .strip_prefix(NODES)
                 .and_then(|key| key.strip_prefix('/'));
-            if let Some(node) = node
-                && node != hub.own().node
-                && let Some(known) = hub.directory.find(node)
-            {
-                hub.directory.forget(node, known.entry.incarnation);
+            if let Some(node) = node {
+                hub.forget(node);
             }
         }
     }
+    None
 }
 
-fn take_row(hub: &Hub, row: &Row, entry: Entry) {
+fn check_row(hub: &Hub, row: &Row, entry: Entry) -> Option<Entry> {
     if row.key != key(&entry.node) {
         log::warn!(event = "row_rejected", key = row.key.as_str(); "it names another node");
-        return;
+        return None;
     }
     let own = hub.own();
     if entry.node == own.node && own.is_newer_than(&entry) {
         // A late write replaced the newer one.
         hub.announce.notify_one();
     }
-    hub.learn_entries(vec![entry]);
+    Some(entry)
 }
 
 fn key(node: &str) -> String {
@@ -185,6 +217,17 @@
     }
 }
 
+/// Asks the neighbours for signs of life, until `stopped` closes.
+pub(super) async fn watch_neighbours(hub: Arc<Hub>, mut stopped: watch::Receiver<()>) {
+    loop {
+        hub.ping_neighbours();
+        tokio::select! {
+            () = tokio::time::sleep(PING_PERIOD) => {}
+            _ = stopped.changed() => return,
+        }
+    }
+}
+
 /// Asks other nodes while the store is away, before the first version, or while some node is known
 /// to have a higher one.
 pub(super) async fn consult(
@@ -197,7 +240,7 @@
             () = tokio::time::sleep(CONSULT_PERIOD.mul_f64(0.75 + 0.5 * rand::random::<f64>())) => {}
             _ = stopped.changed() => return,
         }
-        let away = !hub.store_answers.load(Ordering::Relaxed);
+        let away = !hub.hears_source();
         if !away && !hub.is_behind() && hub.versions.number() > 0 {
             continue;
         }
--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -9,8 +9,9 @@
 
 use crate::directory::Directory;
 use crate::h1::Response;
-use crate::link::{Entry, Hello, News, Offer, Packed, Service, Status, Target};
+use crate::link::{Entry, Hello, News, Offer, Packed, Service, Status, Target, Wanted};
 use crate::roster::{Crash, Presence, Suspicions};
+use crate::sidecar::watcher::{self, Neighbours};
 use crate::target::Side;
 use crate::verdict::Refusal;
 use crate::version::Versions;
@@ -18,6 +19,8 @@
 /// Time for the store's feed to bring a version that another node already has, before that node is
 /// asked for it: about twice what the feed usually takes.
 const FEED_PATIENCE: Duration = Duration::from_millis(700);
+/// Time for which the watcher's entries may differ from this node's: news is on its way.
+const ROSTER_PATIENCE: Duration = Duration::from_millis(700);
 /// Pause between questions for a version, so that not every message of a newer peer asks.
 const ASK_PAUSE: Duration = Duration::from_millis(300);
 
@@ -33,8 +36,8 @@
 
 impl Behind {
     /// Takes the version of another node; returns whether to ask that node for it. The store's feed
-    /// comes first, unless the store is away.
-    fn hear(&mut self, version: u64, own: u64, away: bool) -> bool {
+    /// and the watcher come first, unless `eager`.
+    fn hear(&mut self, version: u64, own: u64, eager: bool) -> bool {
         self.highest = self.highest.max(version);
         if own >= self.highest {
             self.since = None;
@@ -44,7 +47,7 @@
         }
         let since = *self.since.get_or_insert_with(Instant::now);
         let lately = self.asked.is_some_and(|at| at.elapsed() < ASK_PAUSE);
-        if lately || !away && own > 0 && since.elapsed() < FEED_PATIENCE {
+        if lately || !eager && since.elapsed() < FEED_PATIENCE {
             return false;
         }
         self.asked = Some(Instant::now());
@@ -60,10 +63,13 @@
     pub suspicions: Arc<Suspicions>,
     /// Wakes the task that writes the node's entry to the platform.
     pub announce: Notify,
-    /// Whether the store answers.
+    /// Whether the store answers this node, while it is the watcher of its data centre.
     pub store_answers: AtomicBool,
     own: Mutex<Entry>,
     behind: Mutex<Behind>,
+    neighbours: Mutex<Neighbours>,
+    /// Since when the watcher knows other entries than this node.
+    roster_differs: Mutex<Option<Instant>>,
 }
 
 impl Hub {
@@ -83,6 +89,8 @@
             store_answers: AtomicBool::new(true),
             own: Mutex::new(own.clone()),
             behind: Mutex::default(),
+            neighbours: Mutex::default(),
+            roster_differs: Mutex::new(None),
         });
         directory.connect(hub.clone());
         directory.learn(vec![own]);
@@ -120,8 +128,7 @@
             ..News::default()
         };
         // The store's feed tells other data centres, and costs less than a message to each node.
-        let away = !self.store_answers.load(Ordering::Relaxed);
-        self.directory.broadcast(&news, away);
+        self.directory.broadcast(&news, !self.hears_source());
         self.announce.notify_one();
     }
 
@@ -174,10 +181,106 @@
     pub(crate) fn status(&self) -> Status {
         Status {
             version: self.versions.number(),
+            hears_store: self.store_answers.load(Ordering::Relaxed),
+            roster: self.directory.digest(),
             load: self.side.load(),
         }
     }
 
+    /// The node of this data centre that reads the store for the others.
+    pub(crate) fn watcher(&self) -> Option<String> {
+        let (ranked, _) = self.ranked();
+        let own = self.own();
+        let neighbours = lock(&self.neighbours);
+        neighbours.watcher(&own.node, &ranked).map(str::to_owned)
+    }
+
+    /// Whether this node reads the store for its data centre.
+    pub(crate) fn is_watcher(&self) -> bool {
+        self.watcher()
+            .is_none_or(|watcher| watcher == self.own().node)
+    }
+
+    /// Whether what the store holds reaches this node, directly or through the watcher.
+    pub(crate) fn hears_source(&self) -> bool {
+        !self.is_watcher() || self.store_answers.load(Ordering::Relaxed)
+    }
+
+    /// The nodes of this data centre by rank.
+    fn ranked(&self) -> (Vec<String>, Vec<(String, u64)>) {
+        let neighbours = self.directory.neighbours();
+        let names = neighbours.iter().map(|(node, _)| node.clone()).collect();
+        (watcher::rank(names), neighbours)
+    }
+
+    /// Asks the nodes that rank above this one for signs of life.
+    pub(crate) fn ping_neighbours(&self) {
+        let (ranked, incarnations) = self.ranked();
+        let own = self.own();
+        {
+            let mut neighbours = lock(&self.neighbours);
+            neighbours.retain(&ranked);
+            for (node, incarnation) in &incarnations {
+                neighbours.note(node, *incarnation);
+            }
+        }
+        for node in watcher::watched(&own.node, &ranked) {
+            if let Some(link) = self.directory.find(node).and_then(|e| e.link.clone()) {
+                link.ping();
+            }
+        }
+    }
+
+    /// Passes entries and the version on that the store brought to this node as the watcher.
+    pub(crate) fn pass_on_entries(&self, entries: Vec<Entry>) {
+        let news = News {
+            entries,
+            ..News::default()
+        };
+        self.directory.broadcast(&news, false);
+    }
+
+    /// Forgets a node whose row was deleted, and tells the neighbours.
+    pub(crate) fn forget(&self, node: &str) {
+        let Some(known) = self.directory.find(node) else {
+            return;
+        };
+        if known.entry.node == self.own().node {
+            return;
+        }
+        let gone = vec![(node.to_owned(), known.entry.incarnation)];
+        self.directory.forget(node, known.entry.incarnation);
+        let news = News {
+            gone,
+            ..News::default()
+        };
+        self.directory.broadcast(&news, false);
+    }
+
+    /// Sends the version in force to the neighbours, against the one that they are likely to have.
+    pub(crate) fn pass_on_version(&self, before: u64) {
+        if let Some(packed) = self.version_above(before) {
+            for link in self.directory.near_links() {
+                link.push(packed.clone());
+            }
+        }
+    }
+
+    /// Whether to ask the watcher for its entries: they have differed for a while.
+    fn wants_roster(&self, differs: bool) -> bool {
+        let mut since = lock(&self.roster_differs);
+        if !differs {
+            *since = None;
+            return false;
+        }
+        let began = *since.get_or_insert_with(Instant::now);
+        if began.elapsed() < ROSTER_PATIENCE {
+            return false;
+        }
+        *since = None;
+        true
+    }
+
     /// Whether some node has a higher version than this one.
     pub(crate) fn is_behind(&self) -> bool {
         lock(&self.behind).highest > self.versions.number()
@@ -197,13 +300,19 @@
         self.side.run(offer).await
     }
 
-    fn heard(&self, node: &str, status: Status) -> bool {
+    fn heard(&self, node: &str, status: Status) -> Wanted {
         if let Some(endpoint) = self.directory.find(node) {
             endpoint.note_load(status.load);
         }
         let own = self.versions.number();
-        let away = !self.store_answers.load(Ordering::Relaxed);
-        lock(&self.behind).hear(status.version, own, away)
+        lock(&self.neighbours).heard(node, status.hears_store);
+        let from_watcher = self.watcher().is_some_and(|watcher| watcher == node);
+        let eager = from_watcher || own == 0 || !self.hears_source();
+        let differs = from_watcher && status.roster != self.directory.digest();
+        Wanted {
+            version: lock(&self.behind).hear(status.version, own, eager),
+            roster: self.wants_roster(differs),
+        }
     }
 
     fn learn(&self, news: News) {
@@ -213,6 +322,9 @@
         for fingerprint in &news.cleared {
             self.suspicions.clear(*fingerprint);
         }
+        for (node, incarnation) in &news.gone {
+            self.directory.forget(node, *incarnation);
+        }
         self.learn_entries(news.entries);
     }
 
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -8,6 +8,7 @@
 mod heartbeat;
 mod hub;
 mod settings;
+mod watcher;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -151,7 +152,7 @@
         let table: Arc<dyn Table> = self.store.clone();
         let version_table = version_key.split('/').next().unwrap_or_default();
         let take_version =
-            move |hub: &Hub, change: &Change| follow::take_version(hub, change, version_key);
+            move |hub: &Hub, changes: &[Change]| follow::take_version(hub, changes, version_key);
         let seeds = &self.settings.seeds;
         let seeds = seeds
             .iter()
@@ -160,6 +161,7 @@
         tokio::spawn(follow::follow(
             feed.clone(),
             version_table,
+            follow::VERSION_WAIT,
             hub.clone(),
             take_version,
             stopped.clone(),
@@ -167,11 +169,13 @@
         tokio::spawn(follow::follow(
             feed,
             follow::NODES,
+            follow::ENTRY_WAIT,
             hub.clone(),
-            follow::take_entry,
+            follow::take_entries,
             stopped.clone(),
         ));
         tokio::spawn(follow::announce(table, hub.clone(), stopped.clone()));
+        tokio::spawn(follow::watch_neighbours(hub.clone(), stopped.clone()));
         tokio::spawn(follow::consult(
             seeds.collect(),
             hub.clone(),
