--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -1,1 +1,196 @@
-//! Tests.
+//! Which entries are believed, and which target is chosen.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+
+use crate::directory::{Directory, Place};
+use crate::h1::Response;
+use crate::link::{Entry, Hello, Load, News, Offer, Packed, Service, Status, Target, Wanted};
+use crate::roster::Presence;
+use crate::verdict::{Reason, Refusal};
+
+const USUAL: Duration = Duration::from_millis(100);
+const OBJECTIVE: Duration = Duration::from_millis(800);
+
+struct Nobody;
+
+#[async_trait]
+impl Service for Nobody {
+    fn hello(&self) -> Hello {
+        Hello {
+            entry: entry("own", "bkk", "bkk-a", 1, 0),
+            status: Status::default(),
+        }
+    }
+
+    async fn run(&self, _: Offer) -> Result<Response, Refusal> {
+        Err(Refusal::not_run(Reason::NoTarget))
+    }
+
+    fn heard(&self, _: &str, _: Status) -> Wanted {
+        Wanted::default()
+    }
+
+    fn learn(&self, _: News) {}
+
+    fn roster(&self) -> News {
+        News::default()
+    }
+
+    fn version_above(&self, _: u64) -> Option<Packed> {
+        None
+    }
+
+    fn learn_version(&self, _: &Packed) {}
+}
+
+fn entry(node: &str, region: &str, center: &str, incarnation: u64, revision: u64) -> Entry {
+    Entry {
+        node: node.into(),
+        incarnation,
+        revision,
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        region: region.into(),
+        data_center: center.into(),
+        presence: Presence::Serving,
+        target: Some(Target {
+            id: format!("t-{node}"),
+            started_ms: 1,
+            service: "booking".into(),
+            slots: 10,
+            cold_ms: 0,
+        }),
+    }
+}
+
+fn directory() -> Directory {
+    let directory = Directory::new(Place {
+        node: "own".into(),
+        region: "bkk".into(),
+        data_center: "bkk-a".into(),
+    });
+    directory.connect(Arc::new(Nobody));
+    directory
+}
+
+/// Three targets: in this data centre, in this region, and in another region.
+fn three() -> Directory {
+    let directory = directory();
+    directory.learn(vec![
+        entry("far", "hkt", "hkt-a", 1, 0),
+        entry("near", "bkk", "bkk-a", 1, 0),
+        entry("region", "bkk", "bkk-b", 1, 0),
+    ]);
+    directory
+}
+
+fn ranked(directory: &Directory, excluded: &[String]) -> Vec<String> {
+    let ranked = directory.rank("booking", USUAL, OBJECTIVE, excluded);
+    ranked.iter().map(|e| e.entry.node.clone()).collect()
+}
+
+fn load(running: u32, slowness_percent: u32, failing_percent: u32) -> Load {
+    Load {
+        running,
+        queued: 0,
+        slots: 10,
+        run_ms: 100,
+        slowness_percent,
+        failing_percent,
+    }
+}
+
+#[tokio::test]
+async fn near_targets_come_first() {
+    assert_eq!(ranked(&three(), &[]), ["near", "region", "far"]);
+}
+
+#[tokio::test]
+async fn excluded_targets_are_left_out() {
+    assert_eq!(ranked(&three(), &["near".into()]), ["region", "far"]);
+}
+
+macro_rules! avoids_the_near_target {
+    ($($name:ident: $load:expr,)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            let directory = three();
+            directory.find("near").unwrap().note_load($load);
+            assert_eq!(ranked(&directory, &[])[0], "region");
+        })*
+    };
+}
+
+avoids_the_near_target! {
+    when_it_is_far_too_slow: load(0, 900, 100),
+    when_it_has_a_long_queue: Load { queued: 90, ..load(10, 100, 0) },
+    when_most_of_its_answers_fail: load(0, 100, 95),
+}
+
+#[tokio::test]
+async fn a_target_that_leaves_gets_nothing_new() {
+    let directory = three();
+    let mut leaving = entry("near", "bkk", "bkk-a", 1, 1);
+    leaving.presence = Presence::Leaving;
+    directory.learn(vec![leaving]);
+    assert_eq!(ranked(&directory, &[]), ["region", "far"]);
+}
+
+#[tokio::test]
+async fn older_entries_change_nothing() {
+    let directory = directory();
+    assert_eq!(
+        directory
+            .learn(vec![entry("a", "bkk", "bkk-a", 5, 3)])
+            .len(),
+        1
+    );
+    let digest = directory.digest();
+    for older in [(5, 3), (5, 2), (4, 9)] {
+        let entry = entry("a", "bkk", "bkk-a", older.0, older.1);
+        assert!(directory.learn(vec![entry]).is_empty(), "{older:?}");
+    }
+    assert_eq!(directory.digest(), digest);
+    assert_eq!(
+        directory
+            .learn(vec![entry("a", "bkk", "bkk-a", 6, 0)])
+            .len(),
+        1
+    );
+    assert_ne!(directory.digest(), digest);
+}
+
+#[tokio::test]
+async fn a_node_that_is_gone_comes_back_only_as_a_new_process() {
+    let directory = three();
+    directory.forget("near", 1);
+    directory.learn(vec![entry("near", "bkk", "bkk-a", 1, 7)]);
+    assert!(directory.find("near").is_none());
+    directory.learn(vec![entry("near", "bkk", "bkk-a", 2, 0)]);
+    assert!(directory.find("near").is_some());
+}
+
+#[tokio::test]
+async fn nodes_that_know_the_same_have_the_same_digest() {
+    let (one, other) = (directory(), directory());
+    let entries = vec![
+        entry("a", "bkk", "bkk-a", 1, 0),
+        entry("b", "hkt", "hkt-a", 1, 0),
+    ];
+    one.learn(entries.clone());
+    other.learn(entries.into_iter().rev().collect());
+    assert_eq!(one.digest(), other.digest());
+}
+
+#[tokio::test]
+async fn a_target_that_was_slow_is_tried_again_after_a_while() {
+    let directory = three();
+    directory.find("near").unwrap().note_load(load(0, 900, 0));
+    let slow = directory.find("near").unwrap().cost(USUAL, OBJECTIVE);
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    let later = directory.find("near").unwrap().cost(USUAL, OBJECTIVE);
+    assert!(later < slow.mul_f64(0.85), "{later:?} after {slow:?}");
+}
--- /dev/null
+++ b/src/forward/tests/forwarder.rs
@@ -0,0 +1,205 @@
+//! Requests of a caller through its node to a scripted target beside it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use hyper::Method;
+use tokio::sync::mpsc;
+
+use crate::dialect::{Heartbeat, Phase};
+use crate::directory::{Directory, Place};
+use crate::forward::{Forwarder, Limits};
+use crate::h1::Response;
+use crate::ingress::Handler;
+use crate::link::{Entry, Hello, News, Offer, Packed, Service, Status, Target, Wanted};
+use crate::platform;
+use crate::roster::{Presence, Suspicions};
+use crate::target::Side;
+use crate::telemetry::{Counters, Histograms};
+use crate::testing::{Act, FAILURE, GOOD, Scripted, request};
+use crate::verdict::Refusal;
+use crate::version::Versions;
+
+const CONFIG: &str = r#"{"Version":1,"Resources":[
+    {"KindOf":"Services","Metadata":{"Name":"booking"},"Spec":{}},
+    {"KindOf":"Routes","Metadata":{"Name":"safe"},"Spec":{"Host":"shop.example",
+     "Prefix":"/safe/","Type":"safe","TimeoutS":0.6,"GoalS":0.3,"Priority":1,"Attempts":3,
+     "Service":"booking"}},
+    {"KindOf":"Routes","Metadata":{"Name":"once"},"Spec":{"Host":"shop.example",
+     "Prefix":"/once/","Type":"unsafe","TimeoutS":0.6,"GoalS":0.3,"Priority":1,"Attempts":3,
+     "Service":"booking"}},
+    {"KindOf":"Routes","Metadata":{"Name":"longer"},"Spec":{"Host":"shop.example",
+     "Prefix":"/once/longer/","Type":"safe","TimeoutS":0.6,"GoalS":0.3,"Priority":1,"Attempts":1,
+     "Service":"booking"}}]}"#;
+
+/// The nodes of this mesh: this one only.
+struct Alone(Arc<Side>);
+
+#[async_trait]
+impl Service for Alone {
+    fn hello(&self) -> Hello {
+        Hello {
+            entry: own_entry(),
+            status: Status::default(),
+        }
+    }
+
+    async fn run(&self, offer: Offer) -> Result<Response, Refusal> {
+        self.0.run(offer).await
+    }
+
+    fn heard(&self, _: &str, _: Status) -> Wanted {
+        Wanted::default()
+    }
+
+    fn learn(&self, _: News) {}
+
+    fn roster(&self) -> News {
+        News::default()
+    }
+
+    fn version_above(&self, _: u64) -> Option<Packed> {
+        None
+    }
+
+    fn learn_version(&self, _: &Packed) {}
+}
+
+fn own_entry() -> Entry {
+    Entry {
+        node: "own".into(),
+        incarnation: 1,
+        revision: 1,
+        address: ([127, 0, 0, 1], 1).into(),
+        region: "bkk".into(),
+        data_center: "bkk-a".into(),
+        presence: Presence::Serving,
+        target: Some(Target {
+            id: "t1".into(),
+            started_ms: 1,
+            service: "booking".into(),
+            slots: 1,
+            cold_ms: 0,
+        }),
+    }
+}
+
+struct Bench {
+    target: Scripted,
+    forwarder: Arc<Forwarder>,
+    versions: Versions,
+}
+
+async fn bench(script: &[Act]) -> Bench {
+    let target = Scripted::start(script).await;
+    let dialect = Arc::new(platform::Dialect);
+    let suspicions = Arc::new(Suspicions::default());
+    let (report, _) = mpsc::unbounded_channel();
+    let side = Side::new(target.address, dialect.clone(), suspicions.clone(), report);
+    side.heartbeat(Heartbeat {
+        id: "t1".into(),
+        started_ms: 1,
+        sequence: 1,
+        service: "booking".into(),
+        slots: 1,
+        phase: Phase::Ready,
+        cold: Duration::ZERO,
+    });
+    let directory = Arc::new(Directory::new(Place {
+        node: "own".into(),
+        region: "bkk".into(),
+        data_center: "bkk-a".into(),
+    }));
+    directory.connect(Arc::new(Alone(side.clone())));
+    directory.learn(vec![own_entry()]);
+    let versions = Versions::new(dialect.clone());
+    versions.take(CONFIG.as_bytes(), "test");
+    let forwarder = Forwarder::new(
+        dialect,
+        directory,
+        side,
+        versions.in_force().clone(),
+        suspicions,
+        Arc::new(Counters::new()),
+        Arc::new(Histograms::default()),
+        Limits {
+            ratio: 0.2,
+            slack: 50.0,
+            window: Duration::from_secs(10),
+        },
+    );
+    forwarder.set_caller_service("servicing");
+    Bench {
+        target,
+        forwarder: Arc::new(forwarder),
+        versions,
+    }
+}
+
+async fn send(bench: &Bench, path: &str) -> Response {
+    let id = format!("{:x}", rand::random::<u64>());
+    bench
+        .forwarder
+        .handle(request(Method::GET, path, &id))
+        .await
+}
+
+/// Status of the answer and requests that reached the target.
+async fn outcome(script: &[Act], path: &str) -> (u16, u32) {
+    let bench = bench(script).await;
+    let response = send(&bench, path).await;
+    (response.status.as_u16(), bench.target.requests())
+}
+
+macro_rules! ends {
+    ($($name:ident: $script:expr, $path:expr => $expected:expr,)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            assert_eq!(outcome(&$script, $path).await, $expected);
+        })*
+    };
+}
+
+ends! {
+    a_request_is_answered_by_its_target: [Act::Answer(GOOD)], "/once/a" => (200, 1),
+    a_request_without_route_is_not_found: [Act::Answer(GOOD)], "/other/a" => (404, 0),
+    a_failure_is_passed_on_where_it_must_not_be_repeated:
+        [Act::Answer(FAILURE), Act::Answer(GOOD)], "/once/a" => (500, 1),
+    a_lost_answer_that_must_not_be_repeated_may_have_run:
+        [Act::Close, Act::Answer(GOOD)], "/once/a" => (502, 1),
+    an_answer_that_takes_too_long_is_a_time_out: [Act::Silent], "/once/a" => (504, 1),
+    the_longest_prefix_decides: [Act::Close, Act::Answer(GOOD)], "/once/longer/a" => (502, 1),
+}
+
+#[tokio::test]
+async fn a_node_without_version_refuses_for_now() {
+    let bench = bench(&[Act::Answer(GOOD)]).await;
+    bench.versions.in_force().store(None);
+    let response = send(&bench, "/once/a").await;
+    assert_eq!(response.status.as_u16(), 503);
+    let after = response.headers["retry-after"].to_str().unwrap();
+    assert!(
+        after.parse::<f64>().is_ok_and(|after| after > 0.0),
+        "{after}"
+    );
+}
+
+#[tokio::test]
+async fn a_refusal_for_load_is_given_at_once_and_nothing_ran() {
+    let bench = bench(&[Act::Silent]).await;
+    let forwarder = bench.forwarder.clone();
+    let running =
+        tokio::spawn(async move { forwarder.handle(request(Method::GET, "/once/a", "1")).await });
+    crate::testing::until("arrived", || bench.target.requests() == 1).await;
+    let mut second = request(Method::GET, "/once/b", "2");
+    second
+        .headers
+        .insert("bluebellgap-deadline-ms", "60".parse().unwrap());
+    let began = std::time::Instant::now();
+    let response = bench.forwarder.handle(second).await;
+    assert_eq!(response.status.as_u16(), 503);
+    assert!(began.elapsed() < Duration::from_millis(100));
+    assert_eq!(running.await.unwrap().status.as_u16(), 504);
+    assert_eq!(bench.target.requests(), 1);
+}
--- /dev/null
+++ b/src/forward/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Tests of the way of a request.
+
+mod budget;
+mod forwarder;
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -21,6 +21,29 @@
         .boxed()
 }
 
+/// A body that breaks its connection off.
+#[cfg(feature = "standin")]
+pub(crate) struct Broken;
+
+#[cfg(feature = "standin")]
+impl http_body::Body for Broken {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Poll::Ready(Some(Err("broken off".into())))
+    }
+}
+
+/// A response whose connection breaks before its body.
+#[cfg(feature = "standin")]
+pub(crate) fn broken() -> hyper::Response<Body> {
+    hyper::Response::new(Broken.boxed())
+}
+
 /// A body without bytes.
 pub(crate) fn empty() -> Body {
     full(Bytes::new())
--- a/src/ingress/listener.rs
+++ b/src/ingress/listener.rs
@@ -36,6 +36,7 @@
 
 /// A running listener.
 pub(crate) struct Listener {
+    address: SocketAddr,
     closing: watch::Sender<Closing>,
     done: mpsc::Receiver<()>,
 }
@@ -44,10 +45,20 @@
     /// Listens at `address`.
     pub(crate) fn start(address: SocketAddr, handler: Arc<dyn Handler>) -> std::io::Result<Self> {
         let listener = crate::http::bind(address)?;
+        let address = listener.local_addr()?;
         let (closing, closed) = watch::channel(Closing::Open);
         let (alive, done) = mpsc::channel(1);
         tokio::spawn(accept(listener, handler, closed, alive));
-        Ok(Self { closing, done })
+        Ok(Self {
+            address,
+            closing,
+            done,
+        })
+    }
+
+    /// Address that the listener is bound to.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Ends connections after what they have already sent, and waits for that.
--- a/src/ingress/tests.rs
+++ b/src/ingress/tests.rs
@@ -1,1 +1,155 @@
-//! Tests.
+//! Callers' connections.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use hyper::StatusCode;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::bundle::Intake;
+use crate::h1::{Request, Response};
+use crate::ingress::{Handler, Listener};
+use crate::testing::{read_to_end, until};
+
+/// Answers with the path after as many milliseconds as the path says.
+#[derive(Default)]
+struct Echo {
+    begun: AtomicU32,
+    ended: AtomicU32,
+}
+
+#[async_trait]
+impl Handler for Echo {
+    fn intake(&self) -> Intake {
+        Intake {
+            header_bytes: 512,
+            body_bytes: 16,
+            header_timeout_ms: 200,
+            idle_timeout_ms: 60_000,
+        }
+    }
+
+    async fn handle(&self, request: Request) -> Response {
+        self.begun.fetch_add(1, Ordering::Relaxed);
+        let delay = request.target.trim_start_matches('/').parse().unwrap_or(0);
+        tokio::time::sleep(Duration::from_millis(delay)).await;
+        self.ended.fetch_add(1, Ordering::Relaxed);
+        Response::text(StatusCode::OK, &format!("{};", request.target))
+    }
+}
+
+async fn start() -> (Arc<Echo>, Listener, SocketAddr) {
+    let echo = Arc::new(Echo::default());
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = Listener::start(any, echo.clone()).unwrap();
+    let address = listener.address();
+    (echo, listener, address)
+}
+
+async fn send(address: SocketAddr, text: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    stream
+}
+
+async fn exchange(text: &str) -> String {
+    let (_echo, _listener, address) = start().await;
+    let mut stream = send(address, text).await;
+    read_to_end(&mut stream).await
+}
+
+macro_rules! refuses {
+    ($($name:ident: $text:expr => $status:expr,)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            let answer = exchange($text).await;
+            assert!(answer.starts_with(concat!("HTTP/1.1 ", $status)), "{answer}");
+            assert!(answer.contains("connection: close"), "{answer}");
+        })*
+    };
+}
+
+refuses! {
+    a_request_that_is_none: "what is this\r\n\r\n" => "400",
+    a_body_with_two_lengths:
+        "POST /0 HTTP/1.1\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n" => "400",
+    a_body_that_is_too_large: "POST /0 HTTP/1.1\r\ncontent-length: 17\r\n\r\n" => "413",
+    a_head_that_is_too_large:
+        concat!("GET /0 HTTP/1.1\r\nx: ",
+            "0123456789012345678901234567890123456789012345678901234567890123456789012345678901234",
+            "0123456789012345678901234567890123456789012345678901234567890123456789012345678901234",
+            "0123456789012345678901234567890123456789012345678901234567890123456789012345678901234",
+            "0123456789012345678901234567890123456789012345678901234567890123456789012345678901234",
+            "0123456789012345678901234567890123456789012345678901234567890123456789012345678901234",
+            "0123456789012345678901234567890123456789012345678901234567890123456789012345678901234",
+            "01234567890123456789\r\n\r\n") => "431",
+    a_head_that_does_not_arrive_in_time: "GET /0 HTTP/1.1\r\nx: " => "408",
+}
+
+#[tokio::test]
+async fn pipelined_requests_run_side_by_side_and_are_answered_in_order() {
+    let began = Instant::now();
+    let answer = exchange(
+        "GET /300 HTTP/1.1\r\n\r\nGET /200 HTTP/1.1\r\n\r\n\
+         GET /1 HTTP/1.1\r\nconnection: close\r\n\r\n",
+    )
+    .await;
+    let order: Vec<_> = ["/300;", "/200;", "/1;"]
+        .map(|path| answer.find(path))
+        .to_vec();
+    assert!(order.is_sorted() && order[0].is_some(), "{answer}");
+    assert!(began.elapsed() < Duration::from_millis(480));
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_cancels_what_it_asked_for() {
+    let (echo, _listener, address) = start().await;
+    let stream = send(
+        address,
+        "GET /400 HTTP/1.1\r\n\r\nGET /500 HTTP/1.1\r\n\r\n",
+    )
+    .await;
+    until("begun", || echo.begun.load(Ordering::Relaxed) == 2).await;
+    drop(stream);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert_eq!(echo.ended.load(Ordering::Relaxed), 0);
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_after_its_last_request_cancels_it_too() {
+    let (echo, _listener, address) = start().await;
+    let stream = send(address, "GET /400 HTTP/1.1\r\nconnection: close\r\n\r\n").await;
+    until("begun", || echo.begun.load(Ordering::Relaxed) == 1).await;
+    drop(stream);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    assert_eq!(echo.ended.load(Ordering::Relaxed), 0);
+}
+
+#[tokio::test]
+async fn finishing_answers_what_was_read_and_closes() {
+    let (echo, mut listener, address) = start().await;
+    let mut stream = send(address, "GET /300 HTTP/1.1\r\n\r\n").await;
+    until("begun", || echo.begun.load(Ordering::Relaxed) == 1).await;
+    let reading = tokio::spawn(async move { read_to_end(&mut stream).await });
+    listener.finish().await;
+    let answer = reading.await.unwrap();
+    assert!(
+        answer.contains("/300;") && answer.contains("connection: close"),
+        "{answer}"
+    );
+}
+
+#[tokio::test]
+async fn finishing_closes_idle_connections() {
+    let (_echo, mut listener, address) = start().await;
+    let mut stream = send(address, "GET /0 HTTP/1.1\r\n\r\n").await;
+    let mut answer = [0; 512];
+    assert!(stream.read(&mut answer).await.unwrap() > 0);
+    let finished = tokio::time::timeout(Duration::from_secs(2), listener.finish()).await;
+    assert!(finished.is_ok());
+    assert_eq!(stream.read(&mut answer).await.unwrap(), 0);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,8 @@
 mod proxy;
 mod route;
 mod target;
+#[cfg(test)]
+mod testing;
 mod version;
 mod wire;
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,9 +5,10 @@
 mod http;
 mod notice;
 mod store;
+pub(crate) mod wire;
 
 pub use http::Dialect;
 pub use store::Store;
 
-#[cfg(test)]
+#[cfg(all(test, feature = "standin"))]
 mod tests;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -11,10 +11,10 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use hyper::{Method, Request, StatusCode};
-use serde::{Deserialize, Serialize};
 
 use crate::error::{Error, Result};
 use crate::http::{Body, Pool, full, read_whole};
+use crate::platform::wire::{Answer, Commit, Row};
 use crate::store::{self, Change, Changes, Feed, Snapshot, Table, Transaction};
 
 /// Time for an answer. The store answers in a few milliseconds, and in some hundred when it is
@@ -25,44 +25,6 @@
 /// Bytes of one answer at most: a page of rows is bounded by 1 MB of values, more as base64.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
-#[derive(Serialize, Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Row {
-    table: String,
-    #[serde(rename = "part", default)]
-    part: String,
-    key: String,
-    /// Base64.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    value: Option<String>,
-    /// Version of the last write to the row.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    ver: Option<u64>,
-    /// Whether a change dropped the row.
-    #[serde(default, skip_serializing)]
-    deleted: bool,
-}
-
-#[derive(Serialize)]
-#[serde(rename_all = "PascalCase")]
-struct Commit {
-    expect: Vec<Row>,
-    puts: Vec<Row>,
-    deletes: Vec<Row>,
-}
-
-/// Answer to a read, a feed or a write.
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Answer {
-    #[serde(default)]
-    rows: Vec<Row>,
-    #[serde(default)]
-    has_more: bool,
-    /// Newest version in the store.
-    ver: u64,
-}
-
 /// Client of the platform's store.
 pub struct Store {
     pool: Pool,
@@ -189,14 +151,7 @@
 
 fn reference(key: &str) -> Row {
     let (table, key) = split(key);
-    Row {
-        table: table.to_owned(),
-        part: String::new(),
-        key: key.to_owned(),
-        value: None,
-        ver: None,
-        deleted: false,
-    }
+    Row::reference(table, key)
 }
 
 fn encode(transaction: &Transaction) -> Commit {
@@ -213,10 +168,10 @@
     }
     for write in &transaction.writes {
         match &write.value {
-            Some(value) => change.puts.push(Row {
-                value: Some(STANDARD.encode(value)),
-                ..reference(&write.key)
-            }),
+            Some(value) => {
+                let (table, key) = split(&write.key);
+                change.puts.push(Row::put(table, key, value));
+            }
             None => change.deletes.push(reference(&write.key)),
         }
     }
--- /dev/null
+++ b/src/platform/tests/mod.rs
@@ -0,0 +1,5 @@
+//! Tests of the users' dialect.
+
+mod config;
+mod notice;
+mod store;
--- /dev/null
+++ b/src/platform/tests/store.rs
@@ -0,0 +1,93 @@
+//! The client of the store against the stand-in.
+
+use std::time::Duration;
+
+use crate::error::Error;
+use crate::platform::Store;
+use crate::standin::{StoreFault, StoreServer};
+use crate::store::{Change, Changes, Feed, Table, Transaction};
+
+async fn start() -> (StoreServer, std::sync::Arc<Store>) {
+    let server = StoreServer::start().await.unwrap();
+    let store = Store::new(server.address());
+    (server, store)
+}
+
+fn put(key: &str, value: u64) -> Transaction {
+    Transaction::default().put(key, &value)
+}
+
+#[tokio::test]
+async fn rows_are_written_read_and_scanned() {
+    let (_server, store) = start().await;
+    for (key, value) in [("nodes/b", 2), ("nodes/a", 1), ("other/a", 3)] {
+        store.transact(&put(key, value)).await.unwrap();
+    }
+    let row = store.get("nodes/a").await.unwrap().unwrap();
+    assert_eq!((row.key.as_str(), row.value.as_str()), ("nodes/a", "1"));
+    assert!(store.get("nodes/").await.unwrap().is_none());
+    let keys: Vec<_> = store.scan("nodes/").await.unwrap();
+    let keys: Vec<_> = keys.iter().map(|row| row.key.as_str()).collect();
+    assert_eq!(keys, ["nodes/a", "nodes/b"]);
+}
+
+#[tokio::test]
+async fn a_condition_that_does_not_hold_is_a_conflict() {
+    let (_server, store) = start().await;
+    let revision = store.transact(&put("t/a", 1)).await.unwrap();
+    let late = put("t/a", 2).require("t/a", 0);
+    assert!(matches!(
+        store.transact(&late).await,
+        Err(Error::Conflict(_))
+    ));
+    let fitting = put("t/a", 2).require("t/a", revision);
+    assert!(store.transact(&fitting).await.is_ok());
+}
+
+#[tokio::test]
+async fn a_feed_brings_writes_and_deletions_in_order() {
+    let (_server, store) = start().await;
+    store.transact(&put("t/a", 1)).await.unwrap();
+    let position = store.snapshot("t").await.unwrap().position;
+    store.transact(&put("t/b", 2)).await.unwrap();
+    let delete = Transaction::default().delete("t/a");
+    store.transact(&delete).await.unwrap();
+    let wait = Duration::from_secs(1);
+    let Changes::Next { changes, position } = store.changes("t", position, wait).await.unwrap()
+    else {
+        panic!("history lost");
+    };
+    assert_eq!(changes.len(), 2);
+    assert!(matches!(&changes[0], Change::Written(row) if row.key == "t/b"));
+    assert_eq!(changes[1], Change::Deleted("t/a".into()));
+    let quiet = store
+        .changes("t", position, Duration::from_millis(50))
+        .await
+        .unwrap();
+    assert!(matches!(quiet, Changes::Next { changes, .. } if changes.is_empty()));
+}
+
+#[tokio::test]
+async fn a_feed_says_when_its_history_is_lost() {
+    let (server, store) = start().await;
+    store.transact(&put("t/a", 1)).await.unwrap();
+    store.transact(&put("t/a", 2)).await.unwrap();
+    server.forget_history();
+    let changes = store
+        .changes("t", 1, Duration::from_millis(50))
+        .await
+        .unwrap();
+    assert_eq!(changes, Changes::HistoryLost);
+}
+
+#[tokio::test]
+async fn a_store_that_refuses_or_is_silent_is_unavailable() {
+    let (server, store) = start().await;
+    for fault in [StoreFault::Busy, StoreFault::Silent, StoreFault::Reset] {
+        server.set_fault(Some(fault));
+        let read = store.get("t/a").await;
+        assert!(matches!(read, Err(Error::Unavailable(_))), "{fault:?}");
+        server.set_fault(None);
+        assert!(store.get("t/a").await.is_ok(), "after {fault:?}");
+    }
+}
--- /dev/null
+++ b/src/platform/wire.rs
@@ -0,0 +1,78 @@
+//! Messages of the platform's store.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::{Deserialize, Serialize};
+
+/// A row, or a reference to one.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(crate) struct Row {
+    pub table: String,
+    #[serde(rename = "part", default)]
+    pub part: String,
+    pub key: String,
+    /// Base64.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub value: Option<String>,
+    /// Version of the last write to the row.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ver: Option<u64>,
+    /// Whether a change dropped the row.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub deleted: bool,
+}
+
+/// A transaction.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(crate) struct Commit {
+    pub expect: Vec<Row>,
+    pub puts: Vec<Row>,
+    pub deletes: Vec<Row>,
+}
+
+/// Answer to a read, a feed or a write.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(crate) struct Answer {
+    #[serde(default)]
+    pub rows: Vec<Row>,
+    #[serde(default)]
+    pub has_more: bool,
+    /// Newest version in the store.
+    pub ver: u64,
+}
+
+impl Row {
+    /// A row by its place alone.
+    pub(crate) fn reference(table: &str, key: &str) -> Self {
+        Self {
+            table: table.to_owned(),
+            part: String::new(),
+            key: key.to_owned(),
+            value: None,
+            ver: None,
+            deleted: false,
+        }
+    }
+
+    /// A row to be written.
+    pub(crate) fn put(table: &str, key: &str, value: &str) -> Self {
+        Self {
+            value: Some(STANDARD.encode(value)),
+            ..Self::reference(table, key)
+        }
+    }
+
+    /// Table, part and key.
+    #[cfg(feature = "standin")]
+    pub(crate) fn place(&self) -> (String, String, String) {
+        (self.table.clone(), self.part.clone(), self.key.clone())
+    }
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -196,6 +196,12 @@
         self.settings = settings;
     }
 
+    /// Where the node takes requests of callers.
+    #[must_use]
+    pub fn caller_address(&self) -> std::net::SocketAddr {
+        self.caller.address()
+    }
+
     /// Number of the version in force, 0 before the first.
     #[must_use]
     pub fn version(&self) -> u64 {
--- a/src/sidecar/watcher.rs
+++ b/src/sidecar/watcher.rs
@@ -97,3 +97,6 @@
     let rank = ranked.iter().position(|node| node == own).unwrap_or(0);
     &ranked[..rank.min(WATCHED)]
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -3,9 +3,11 @@
 mod caller;
 mod mesh;
 mod platform;
+mod store;
 mod target;
 
 pub use caller::{Answer, Caller};
 pub use mesh::{Layout, Mesh, Place, sample_bundle};
 pub use platform::{Fault, Memory, PlatformServer};
+pub use store::{StoreFault, StoreServer};
 pub use target::{Target, TargetOptions};
--- a/src/target/tests.rs
+++ b/src/target/tests/identity.rs
@@ -1,4 +1,4 @@
-//! Tests of the target side.
+//! Which target is believed to stand beside the node.
 
 use std::time::Duration;
 
--- /dev/null
+++ b/src/target/tests/mod.rs
@@ -0,0 +1,5 @@
+//! Tests of the target side.
+
+mod gate;
+mod identity;
+mod side;
--- /dev/null
+++ b/src/target/tests/side.rs
@@ -0,0 +1,257 @@
+//! Requests at a scripted target.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Method;
+use tokio::sync::mpsc;
+
+use crate::dialect::{Heartbeat, Phase};
+use crate::h1::Response;
+use crate::link::Offer;
+use crate::platform;
+use crate::roster::{Crash, Presence, Suspicions};
+use crate::target::Side;
+use crate::testing::{Act, FAILURE, GOOD, Scripted, request, until};
+use crate::verdict::{Reason, Refusal, Verdict};
+
+const TRUNCATED: &str = "HTTP/1.1 200 OK\r\nbluebellgap-request-id: {id}\r\n\
+    bluebellgap-server-stamp: s\r\ncontent-length: 20\r\n\r\nok";
+const UNSIGNED: &str =
+    "HTTP/1.1 200 OK\r\nbluebellgap-request-id: {id}\r\ncontent-length: 2\r\n\r\nok";
+const ENCODED: &str = "HTTP/1.1 200 OK\r\nbluebellgap-request-id: {id}\r\n\
+    bluebellgap-server-stamp: s\r\ncontent-encoding: gzip\r\ncontent-length: 2\r\n\r\nok";
+const FOREIGN: &str = "HTTP/1.1 200 OK\r\nbluebellgap-request-id: other\r\n\
+    bluebellgap-server-stamp: s\r\ncontent-length: 5\r\n\r\nother";
+const FOREIGN_THEN_GOOD: &str = "HTTP/1.1 200 OK\r\nbluebellgap-request-id: other\r\n\
+    bluebellgap-server-stamp: s\r\ncontent-length: 5\r\n\r\nother\
+    HTTP/1.1 200 OK\r\nbluebellgap-request-id: {id}\r\n\
+    bluebellgap-server-stamp: s\r\ncontent-length: 2\r\n\r\nok";
+const GOOD_THEN_MORE: &str = "HTTP/1.1 200 OK\r\nbluebellgap-request-id: {id}\r\n\
+    bluebellgap-server-stamp: s\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n";
+const SHED: &str = "HTTP/1.1 503 Service Unavailable\r\nbluebellgap-request-id: {id}\r\n\
+    bluebellgap-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+const MISDIRECTED: &str = "HTTP/1.1 421 Misdirected Request\r\nbluebellgap-request-id: {id}\r\n\
+    content-length: 0\r\n\r\n";
+const GARBAGE: &str = "\u{1}\u{2}not an answer\r\n\r\n";
+
+fn heartbeat(sequence: u64, phase: Phase) -> Heartbeat {
+    Heartbeat {
+        id: "t1".into(),
+        started_ms: 1,
+        sequence,
+        service: "booking".into(),
+        slots: 2,
+        phase,
+        cold: Duration::ZERO,
+    }
+}
+
+struct Bench {
+    target: Scripted,
+    side: Arc<Side>,
+    suspicions: Arc<Suspicions>,
+    crashes: mpsc::UnboundedReceiver<Vec<u64>>,
+}
+
+async fn bench(script: &[Act]) -> Bench {
+    let target = Scripted::start(script).await;
+    let suspicions = Arc::new(Suspicions::default());
+    let (report, crashes) = mpsc::unbounded_channel();
+    let dialect = Arc::new(platform::Dialect);
+    let side = Side::new(target.address, dialect, suspicions.clone(), report);
+    side.heartbeat(heartbeat(1, Phase::Ready));
+    Bench {
+        target,
+        side,
+        suspicions,
+        crashes,
+    }
+}
+
+fn offer(idempotent: bool, left: Duration) -> Offer {
+    Offer {
+        ticket: rand::random(),
+        service: "booking".into(),
+        route: "r".into(),
+        request_id: format!("{:x}", rand::random::<u64>()),
+        caller_service: "servicing".into(),
+        message: (&request(Method::GET, "/a", "set below")).into(),
+        idempotent,
+        repeated: false,
+        rank: 0,
+        patience: left,
+        objective: left,
+        left,
+        expected: Duration::from_millis(50),
+        fingerprint: 7,
+    }
+}
+
+async fn run(side: &Arc<Side>, idempotent: bool) -> Result<Response, Refusal> {
+    let mut offer = offer(idempotent, Duration::from_secs(2));
+    offer.message = (&request(Method::GET, "/a", &offer.request_id)).into();
+    side.run(offer).await
+}
+
+/// Status of the answer, or reason and verdict of the refusal.
+type End = Result<u16, (Reason, Verdict)>;
+
+async fn end(script: &[Act], idempotent: bool) -> End {
+    let bench = bench(script).await;
+    let outcome = run(&bench.side, idempotent).await;
+    outcome
+        .map(|response| response.status.as_u16())
+        .map_err(|refusal| (refusal.reason, refusal.verdict))
+}
+
+macro_rules! ends {
+    ($($name:ident: $script:expr => $expected:expr,)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            let expected: End = $expected;
+            assert_eq!(end(&$script, false).await, expected);
+        })*
+    };
+}
+
+ends! {
+    a_whole_answer_is_passed_on: [Act::Answer(GOOD)] => Ok(200),
+    a_failure_of_the_target_is_passed_on: [Act::Answer(FAILURE)] => Ok(500),
+    a_cut_answer_may_have_run:
+        [Act::AnswerAndClose(TRUNCATED)] => Err((Reason::ConnectionLost, Verdict::MayHaveRun)),
+    a_lost_answer_may_have_run:
+        [Act::Close] => Err((Reason::ConnectionLost, Verdict::MayHaveRun)),
+    bytes_that_are_no_answer_are_spoiled:
+        [Act::Answer(GARBAGE)] => Err((Reason::Spoiled, Verdict::MayHaveRun)),
+    a_success_without_signature_is_spoiled:
+        [Act::Answer(UNSIGNED)] => Err((Reason::Spoiled, Verdict::MayHaveRun)),
+    an_encoded_answer_is_spoiled:
+        [Act::Answer(ENCODED)] => Err((Reason::Spoiled, Verdict::MayHaveRun)),
+    the_answer_to_another_request_is_passed_over: [Act::Answer(FOREIGN_THEN_GOOD)] => Ok(200),
+    a_target_that_sheds_has_not_run_it:
+        [Act::Answer(SHED)] => Err((Reason::Rejected, Verdict::NotRun)),
+    another_target_at_the_address_has_not_run_it:
+        [Act::Answer(MISDIRECTED)] => Err((Reason::Rejected, Verdict::NotRun)),
+}
+
+#[tokio::test]
+async fn the_target_is_told_who_is_meant_who_called_and_what_time_is_left() {
+    let bench = bench(&[Act::Answer(GOOD)]).await;
+    run(&bench.side, true).await.unwrap();
+    assert_eq!(bench.target.header("bluebellgap-expect-instance"), "t1");
+    assert_eq!(
+        bench.target.header("bluebellgap-caller-service"),
+        "servicing"
+    );
+    let left: u64 = bench
+        .target
+        .header("bluebellgap-deadline-ms")
+        .parse()
+        .unwrap();
+    assert!((1_500..=2_000).contains(&left), "{left}");
+}
+
+#[tokio::test]
+async fn a_connection_is_used_again_after_a_whole_answer() {
+    let bench = bench(&[Act::Answer(GOOD)]).await;
+    for _ in 0..3 {
+        run(&bench.side, false).await.unwrap();
+    }
+    assert_eq!(bench.target.connections(), 1);
+}
+
+#[tokio::test]
+async fn a_connection_with_bytes_after_the_answer_is_not_used_again() {
+    let bench = bench(&[Act::Answer(GOOD_THEN_MORE), Act::Answer(GOOD)]).await;
+    for _ in 0..2 {
+        assert_eq!(&run(&bench.side, false).await.unwrap().body[..], b"ok");
+    }
+    assert_eq!(bench.target.connections(), 2);
+}
+
+#[tokio::test]
+async fn an_answer_to_another_request_alone_never_becomes_this_ones() {
+    let bench = bench(&[Act::Answer(FOREIGN)]).await;
+    let mut offer = offer(true, Duration::from_millis(200));
+    offer.message = (&request(Method::GET, "/a", &offer.request_id)).into();
+    let refusal = bench.side.run(offer).await.unwrap_err();
+    assert_eq!(refusal.reason, Reason::Deadline);
+}
+
+#[tokio::test]
+async fn a_cancelled_idempotent_request_stops_at_the_target() {
+    let bench = bench(&[Act::Silent]).await;
+    let side = bench.side.clone();
+    let running = tokio::spawn(async move { run(&side, true).await });
+    until("arrived", || bench.target.requests() == 1).await;
+    running.abort();
+    until("stopped", || bench.target.left() == 1).await;
+    assert_eq!(bench.side.load().running, 0);
+}
+
+#[tokio::test]
+async fn a_cancelled_request_that_must_not_be_repeated_goes_on() {
+    let late = Act::Late(Duration::from_millis(200), GOOD);
+    let bench = bench(&[late]).await;
+    let side = bench.side.clone();
+    let running = tokio::spawn(async move { run(&side, false).await });
+    until("arrived", || bench.target.requests() == 1).await;
+    running.abort();
+    let _ = running.await;
+    assert_eq!(bench.side.load().running, 1);
+    bench.side.idle().await;
+    assert_eq!(bench.target.left(), 0);
+}
+
+#[tokio::test]
+async fn a_draining_target_gets_nothing_new_from_its_acknowledgement_on() {
+    let bench = bench(&[Act::Answer(GOOD)]).await;
+    bench.side.heartbeat(heartbeat(2, Phase::Draining));
+    let refusal = run(&bench.side, true).await.unwrap_err();
+    assert_eq!(
+        (refusal.reason, refusal.verdict),
+        (Reason::Draining, Verdict::NotRun)
+    );
+    assert_eq!(bench.target.requests(), 0);
+    assert_eq!(bench.side.watch().borrow().0, Presence::Leaving);
+}
+
+#[tokio::test]
+async fn a_request_for_another_service_never_reaches_the_target() {
+    let bench = bench(&[Act::Answer(GOOD)]).await;
+    let mut offer = offer(true, Duration::from_secs(1));
+    offer.service = "servicing".into();
+    let refusal = bench.side.run(offer).await.unwrap_err();
+    assert_eq!(
+        (refusal.reason, refusal.verdict),
+        (Reason::NoTarget, Verdict::NotRun)
+    );
+    assert_eq!(bench.target.requests(), 0);
+}
+
+#[tokio::test]
+async fn a_request_that_crashed_targets_is_refused() {
+    let bench = bench(&[Act::Answer(GOOD)]).await;
+    for number in 0..2 {
+        bench.suspicions.note(&Crash {
+            node: "elsewhere".into(),
+            number,
+            incarnation: 1,
+            fingerprints: vec![7],
+        });
+    }
+    let refusal = run(&bench.side, true).await.unwrap_err();
+    assert_eq!(
+        (refusal.reason, refusal.verdict),
+        (Reason::Suspected, Verdict::NotRun)
+    );
+}
+
+#[tokio::test]
+async fn a_lost_connection_to_a_target_that_lives_is_no_crash() {
+    let mut bench = bench(&[Act::Close]).await;
+    run(&bench.side, true).await.unwrap_err();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(bench.crashes.try_recv().is_err());
+}
--- /dev/null
+++ b/src/testing.rs
@@ -0,0 +1,153 @@
+//! Helpers of unit tests: a target that answers as a script says.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use hyper::Method;
+use hyper::header::HeaderMap;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::h1::{Request, Stream};
+
+/// What a scripted target does with a request.
+#[derive(Clone, Debug)]
+pub(crate) enum Act {
+    /// Answers with these bytes; `{id}` stands for the request's id.
+    Answer(&'static str),
+    /// Answers after a while.
+    Late(Duration, &'static str),
+    /// Answers and closes the connection in order.
+    AnswerAndClose(&'static str),
+    /// Closes the connection without an answer.
+    Close,
+    /// Never answers.
+    Silent,
+}
+
+/// A whole answer of a target.
+pub(crate) const GOOD: &str = "HTTP/1.1 200 OK\r\nbluebellgap-request-id: {id}\r\n\
+    bluebellgap-server-stamp: s\r\ncontent-length: 2\r\n\r\nok";
+/// A failure of a target.
+pub(crate) const FAILURE: &str = "HTTP/1.1 500 Internal Server Error\r\n\
+    bluebellgap-request-id: {id}\r\nbluebellgap-server-stamp: s\r\ncontent-length: 3\r\n\r\nbad";
+
+/// A target that answers its requests as a script says, the last act for all further ones.
+#[derive(Clone)]
+pub(crate) struct Scripted {
+    /// Where it listens.
+    pub address: SocketAddr,
+    requests: Arc<AtomicU32>,
+    connections: Arc<AtomicU32>,
+    left: Arc<AtomicU32>,
+    heads: Arc<std::sync::Mutex<Vec<HeaderMap>>>,
+}
+
+impl Scripted {
+    pub(crate) async fn start(script: &[Act]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let target = Self {
+            address: listener.local_addr().unwrap(),
+            requests: Arc::default(),
+            connections: Arc::default(),
+            left: Arc::default(),
+            heads: Arc::default(),
+        };
+        let (serving, script) = (target.clone(), script.to_vec());
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                serving.connections.fetch_add(1, Ordering::Relaxed);
+                tokio::spawn(serving.clone().serve(stream, script.clone()));
+            }
+        });
+        target
+    }
+
+    async fn serve(self, stream: TcpStream, script: Vec<Act>) {
+        let (reader, mut writer) = stream.into_split();
+        let mut reader = Stream::new(reader);
+        while reader.wait_for_bytes().await.is_ok() {
+            let Ok((request, framing)) = reader.read_request_head(65_536).await else {
+                return;
+            };
+            let _ = reader.read_body(framing, 65_536).await;
+            let number = self.requests.fetch_add(1, Ordering::Relaxed) as usize;
+            self.heads.lock().unwrap().push(request.headers.clone());
+            let id = request.headers["bluebellgap-request-id"].to_str().unwrap();
+            match &script[number.min(script.len() - 1)] {
+                Act::Answer(text) => {
+                    let _ = writer.write_all(text.replace("{id}", id).as_bytes()).await;
+                }
+                Act::Late(delay, text) => {
+                    tokio::time::sleep(*delay).await;
+                    let _ = writer.write_all(text.replace("{id}", id).as_bytes()).await;
+                }
+                Act::AnswerAndClose(text) => {
+                    let _ = writer.write_all(text.replace("{id}", id).as_bytes()).await;
+                    return;
+                }
+                Act::Close => return,
+                Act::Silent => {
+                    let _ = reader.wait_for_bytes().await;
+                    self.left.fetch_add(1, Ordering::Relaxed);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Requests that arrived.
+    pub(crate) fn requests(&self) -> u32 {
+        self.requests.load(Ordering::Relaxed)
+    }
+
+    /// Connections that were opened.
+    pub(crate) fn connections(&self) -> u32 {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    /// Requests without an answer whose connection was closed by the sender.
+    pub(crate) fn left(&self) -> u32 {
+        self.left.load(Ordering::Relaxed)
+    }
+
+    /// Header of the last request.
+    pub(crate) fn header(&self, name: &str) -> String {
+        let heads = self.heads.lock().unwrap();
+        heads.last().unwrap()[name].to_str().unwrap().to_owned()
+    }
+}
+
+/// A request with an id.
+pub(crate) fn request(method: Method, target: &str, id: &str) -> Request {
+    let mut headers = HeaderMap::new();
+    headers.insert("host", "shop.example".parse().unwrap());
+    headers.insert("bluebellgap-request-id", id.parse().unwrap());
+    Request {
+        method,
+        target: target.into(),
+        headers,
+        body: bytes::Bytes::new(),
+        keep_alive: true,
+    }
+}
+
+/// Waits until `holds`, at most some seconds.
+pub(crate) async fn until(what: &str, holds: impl Fn() -> bool) {
+    for _ in 0..500 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("not in time: {what}");
+}
+
+/// Reads until the peer closes the connection.
+pub(crate) async fn read_to_end(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes).await;
+    String::from_utf8_lossy(&bytes).into_owned()
+}
--- a/src/version.rs
+++ b/src/version.rs
@@ -154,3 +154,6 @@
         taken
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/version/tests.rs
@@ -0,0 +1,74 @@
+//! Versions are taken whole, and only higher ones.
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+
+use crate::platform::Dialect;
+use crate::version::Versions;
+
+fn versions() -> Versions {
+    Versions::new(Arc::new(Dialect))
+}
+
+fn config(version: u64) -> Vec<u8> {
+    format!(
+        r#"{{"Version":{version},"Resources":[
+        {{"KindOf":"Services","Metadata":{{"Name":"s"}},"Spec":{{}}}},
+        {{"KindOf":"Routes","Metadata":{{"Name":"r{version}"}},"Spec":{{"Host":"h","Prefix":"/p/",
+        "Type":"safe","TimeoutS":1,"GoalS":0.5,"Priority":1,"Attempts":2,"Service":"s"}}}}]}}"#
+    )
+    .into_bytes()
+}
+
+#[test]
+fn a_version_that_is_not_valid_as_a_whole_changes_nothing() {
+    let versions = versions();
+    assert!(versions.take(&config(3), "test"));
+    let cut = config(4);
+    assert!(!versions.take(&cut[..cut.len() / 2], "test"));
+    assert_eq!(versions.number(), 3);
+    let in_force = versions.in_force().load_full().unwrap();
+    assert!(in_force.bundle.routes.contains_key("r3"));
+}
+
+#[test]
+fn versions_go_from_node_to_node_as_deltas() {
+    let (one, other) = (versions(), versions());
+    one.take(&config(1), "test");
+    let first = one.pack_above(0).unwrap().unwrap();
+    assert_eq!(first.base, 0);
+    assert!(other.take(&other.unpack(&first).unwrap(), "peer"));
+    one.take(&config(5), "test");
+    let delta = one.pack_above(other.number()).unwrap().unwrap();
+    assert_eq!(delta.base, 1);
+    assert!(delta.bytes.len() < first.bytes.len());
+    assert!(other.take(&other.unpack(&delta).unwrap(), "peer"));
+    assert_eq!(other.number(), 5);
+    assert!(one.pack_above(5).unwrap().is_none());
+}
+
+#[test]
+fn a_delta_against_an_unknown_version_is_refused() {
+    let (one, other) = (versions(), versions());
+    one.take(&config(1), "test");
+    one.take(&config(2), "test");
+    let delta = one.pack_above(1).unwrap().unwrap();
+    assert!(other.unpack(&delta).is_err());
+}
+
+proptest! {
+    #[test]
+    fn the_version_in_force_never_falls(numbers in prop::collection::vec(1_u64..50, 1..40)) {
+        let versions = versions();
+        let mut highest = 0;
+        for number in numbers {
+            let taken = versions.take(&config(number), "test");
+            prop_assert_eq!(taken, number > highest);
+            highest = highest.max(number);
+            prop_assert_eq!(versions.number(), highest);
+            let in_force = versions.in_force().load_full().unwrap();
+            prop_assert_eq!(in_force.version.0, highest);
+        }
+    }
+}
