--- a/src/ingress/tests.rs
+++ b/src/ingress/tests.rs
@@ -42,7 +42,7 @@
     }
 }
 
-async fn start() -> (Arc<Echo>, Listener, SocketAddr) {
+fn start() -> (Arc<Echo>, Listener, SocketAddr) {
     let echo = Arc::new(Echo::default());
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let listener = Listener::start(any, echo.clone()).unwrap();
@@ -57,7 +57,7 @@
 }
 
 async fn exchange(text: &str) -> String {
-    let (_echo, _listener, address) = start().await;
+    let (_echo, _listener, address) = start();
     let mut stream = send(address, text).await;
     read_to_end(&mut stream).await
 }
@@ -107,7 +107,7 @@
 
 #[tokio::test]
 async fn a_caller_that_leaves_cancels_what_it_asked_for() {
-    let (echo, _listener, address) = start().await;
+    let (echo, _listener, address) = start();
     let stream = send(
         address,
         "GET /400 HTTP/1.1\r\n\r\nGET /500 HTTP/1.1\r\n\r\n",
@@ -121,7 +121,7 @@
 
 #[tokio::test]
 async fn a_caller_that_leaves_after_its_last_request_cancels_it_too() {
-    let (echo, _listener, address) = start().await;
+    let (echo, _listener, address) = start();
     let stream = send(address, "GET /400 HTTP/1.1\r\nconnection: close\r\n\r\n").await;
     until("begun", || echo.begun.load(Ordering::Relaxed) == 1).await;
     drop(stream);
@@ -131,7 +131,7 @@
 
 #[tokio::test]
 async fn finishing_answers_what_was_read_and_closes() {
-    let (echo, mut listener, address) = start().await;
+    let (echo, mut listener, address) = start();
     let mut stream = send(address, "GET /300 HTTP/1.1\r\n\r\n").await;
     until("begun", || echo.begun.load(Ordering::Relaxed) == 1).await;
     let reading = tokio::spawn(async move { read_to_end(&mut stream).await });
@@ -145,7 +145,7 @@
 
 #[tokio::test]
 async fn finishing_closes_idle_connections() {
-    let (_echo, mut listener, address) = start().await;
+    let (_echo, mut listener, address) = start();
     let mut stream = send(address, "GET /0 HTTP/1.1\r\n\r\n").await;
     let mut answer = [0; 512];
     assert!(stream.read(&mut answer).await.unwrap() > 0);
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -264,7 +264,7 @@
 #[tokio::test]
 async fn what_may_be_repeated_is_given_back_when_a_node_falls_silent() {
     let (reply, _) = broken(true, async |relay| {
-        relay.silent.store(true, Ordering::Relaxed)
+        relay.silent.store(true, Ordering::Relaxed);
     })
     .await;
     assert_eq!(verdict(&reply), LOST);
--- a/src/target/gate.rs
+++ b/src/target/gate.rs
@@ -1,4 +1,7 @@
 //! Admission: as many requests at a time as the target has slots, the rest by rank and objective.
+//!
+//! Within a rank, requests that can still be answered within their objective go first: in an
+//! overload the slots would otherwise be spent on requests that are all a little too late.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -16,6 +19,8 @@
 
 struct Waiting {
     service: String,
+    /// Latest start at which the request can meet its objective.
+    latest_start: Instant,
     turn: oneshot::Sender<Result<Permit, Refusal>>,
 }
 
@@ -45,6 +50,8 @@
     pub objective: Instant,
     /// Longest wait.
     pub patience: Duration,
+    /// Usual run time of such requests.
+    pub expected: Duration,
     /// Average time for which a request holds a slot.
     pub run: Duration,
 }
@@ -113,13 +120,16 @@
             }
             state.arrivals += 1;
             let place = (ask.rank, ask.objective, state.arrivals);
-            let wait = state.wait(&place, ask.run);
+            let latest_start = ask.objective.checked_sub(ask.expected);
+            let latest_start = latest_start.unwrap_or(ask.objective);
+            let wait = state.wait(&place, latest_start, ask.run);
             if wait > ask.patience || state.queue.len() >= MAX_QUEUED {
                 return Err(overloaded(wait));
             }
             let (sender, turn) = oneshot::channel();
             let waiting = Waiting {
                 service: ask.service.to_owned(),
+                latest_start,
                 turn: sender,
             };
             state.queue.insert(place, waiting);
@@ -144,7 +154,7 @@
             if state.running >= state.slots {
                 return;
             }
-            let Some((_, waiting)) = state.queue.pop_first() else {
+            let Some(waiting) = state.next() else {
                 return;
             };
             state.running += 1;
@@ -175,9 +185,28 @@
 }
 
 impl State {
-    /// Expected wait at a place in the queue.
-    fn wait(&self, place: &Place, run: Duration) -> Duration {
-        let ahead = self.queue.range(..place).count();
+    /// Takes the next request out of the queue: of the first rank, the first that can meet its
+    /// objective, or else the first.
+    fn next(&mut self) -> Option<Waiting> {
+        let now = Instant::now();
+        let (first, _) = self.queue.first_key_value()?;
+        let (rank, first) = (first.0, *first);
+        let in_rank = self.queue.iter().take_while(|(place, _)| place.0 == rank);
+        let mut timely = in_rank.filter(|(_, waiting)| waiting.latest_start >= now);
+        let next = timely.next().map_or(first, |(place, _)| *place);
+        self.queue.remove(&next)
+    }
+
+    /// Expected wait at a place in the queue. Requests of the same rank that cannot meet their
+    /// objectives let one pass that can.
+    fn wait(&self, place: &Place, latest_start: Instant, run: Duration) -> Duration {
+        let now = Instant::now();
+        let timely = latest_start >= now;
+        let ahead = self
+            .queue
+            .range(..place)
+            .filter(|(other, waiting)| !timely || other.0 < place.0 || waiting.latest_start >= now);
+        let ahead = ahead.count();
         let turns = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
         run * turns / self.slots.max(1)
     }
--- a/src/target/side.rs
+++ b/src/target/side.rs
@@ -255,6 +255,7 @@
             rank: offer.rank,
             objective: Instant::now() + offer.objective,
             patience: offer.patience.min(left),
+            expected: offer.expected,
             run,
         };
         self.gate.admit(ask).await
