Pass over targets that just reported no free slot

Change: a target whose last report, at most 100 ms old, shows no free slot is not offered more while another one has some; two refusals, then the best one's queue.

--- a/src/directory/endpoint.rs
+++ b/src/directory/endpoint.rs
@@ -18,6 +18,8 @@
 const FULL_SLOWNESS: f64 = 0.6;
 /// Run times that a failed answer costs.
 const FAILURE_RUNS: f64 = 6.0;
+/// Time for which a target that reported no free slot counts as full: a few slots come free in it.
+const FULL_TERM: Duration = Duration::from_millis(100);
 /// Pause after a refusal in which the target is asked last.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(60);
 /// Failures to reach a target in a row after which it counts as failing.
@@ -120,6 +122,15 @@
         measured.unwrap_or(self.distance)
     }
 
+    /// Whether the target was full a moment ago, so that an offer would likely be refused.
+    pub(crate) fn is_full(&self) -> bool {
+        let opinion = *self.record.lock();
+        let fresh = opinion
+            .heard
+            .is_some_and(|heard| heard.elapsed() < FULL_TERM);
+        fresh && opinion.load.slots > 0 && opinion.load.running >= opinion.load.slots
+    }
+
     /// Whether the target has slots to spare for a request that may not be needed.
     pub(crate) fn has_room(&self) -> bool {
         let opinion = *self.record.lock();
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -26,7 +26,7 @@
 /// Share of the objective for which the first targets asked may let a request wait for a slot.
 const FIRST_PATIENCE_SHARE: f64 = 0.125;
 /// Refusals for load after which a request waits at the best target instead of asking more.
-const MAX_REFUSALS: usize = 4;
+const MAX_REFUSALS: usize = 2;
 /// Share of the objective after which an idempotent request is also sent to a second target.
 const HEDGE_SHARE: f64 = 0.6;
 /// Usual run times after which it is, if that is later.
@@ -168,7 +168,13 @@
                 }
                 return progress.end(Refusal::not_run(Reason::NoTarget));
             };
-            let patient = progress.refusals >= MAX_REFUSALS || ranked.len() == 1;
+            let free = ranked.iter().find(|endpoint| !endpoint.is_full());
+            let patient = progress.refusals >= MAX_REFUSALS || ranked.len() == 1 || free.is_none();
+            let endpoint = if patient {
+                endpoint
+            } else {
+                free.unwrap_or(endpoint)
+            };
             let patience = patience(call, patient);
             let outcome = self.attempt(call, endpoint, patience, &mut progress).await;
             let refusal = match outcome {
