--- a/src/bin/bluebellgap/app.rs
+++ b/src/bin/bluebellgap/app.rs
@@ -63,6 +63,14 @@
         #[cfg(feature = "standin")]
         Command::Demo { seconds } => crate::standin::demo(seconds).await,
         #[cfg(feature = "standin")]
+        Command::Soak {
+            seed,
+            seeds,
+            seconds,
+            nodes,
+            folder,
+        } => crate::standin::soak(seed..seed + seeds, seconds, nodes, &folder).await,
+        #[cfg(feature = "standin")]
         Command::Standin(command) => crate::standin::run(command).await,
         #[cfg(feature = "standin")]
         Command::Bench(command) => crate::standin::bench(command).await,
--- a/src/bin/bluebellgap/cli.rs
+++ b/src/bin/bluebellgap/cli.rs
@@ -170,6 +170,26 @@
         #[bpaf(long, argument("SECONDS"), fallback(4))]
         seconds: u64,
     },
+    /// Play random faults against real node processes on loopback; fails on a broken promise
+    #[cfg(feature = "standin")]
+    #[bpaf(command)]
+    Soak {
+        /// First seed
+        #[bpaf(long, argument("SEED"), fallback(1))]
+        seed: u64,
+        /// Number of seeds, one after the other
+        #[bpaf(long, argument("COUNT"), fallback(1))]
+        seeds: u64,
+        /// Seconds with faults for each seed
+        #[bpaf(long, argument("SECONDS"), fallback(20))]
+        seconds: u64,
+        /// Number of nodes
+        #[bpaf(long, argument("COUNT"), fallback(6))]
+        nodes: u8,
+        /// Folder for settings and logs
+        #[bpaf(long, argument("FOLDER"))]
+        folder: PathBuf,
+    },
     /// Run a stand-in for the platform or for a target
     #[cfg(feature = "standin")]
     #[bpaf(command)]
--- a/src/bin/bluebellgap/standin.rs
+++ b/src/bin/bluebellgap/standin.rs
@@ -51,3 +51,29 @@
     }
     Ok(())
 }
+
+/// `bluebellgap soak`
+pub(crate) async fn soak(
+    seeds: std::ops::Range<u64>,
+    seconds: u64,
+    nodes: u8,
+    folder: &std::path::Path,
+) -> Result<()> {
+    let mut failed = Vec::new();
+    for seed in seeds {
+        let options = bluebellgap::soak::Options {
+            seed,
+            duration: std::time::Duration::from_secs(seconds),
+            nodes,
+            program: std::env::current_exe()?,
+            folder: folder.join(seed.to_string()),
+        };
+        let report = bluebellgap::soak::run(&options).await?;
+        println!("{}", serde_json::to_string(&report)?);
+        if !report.violations.is_empty() {
+            failed.push(seed);
+        }
+    }
+    eyre::ensure!(failed.is_empty(), "broken promises with seeds {failed:?}");
+    Ok(())
+}
--- a/src/directory/endpoint.rs
+++ b/src/directory/endpoint.rs
@@ -101,6 +101,12 @@
         opinion.heard = Some(Instant::now());
     }
 
+    /// Load that was last reported, and its age.
+    pub(crate) fn load(&self) -> (Load, Option<Duration>) {
+        let opinion = *self.record.lock();
+        (opinion.load, opinion.heard.map(|heard| heard.elapsed()))
+    }
+
     /// Notes that the target refused a request for load.
     pub(crate) fn note_refused(&self) {
         self.record.lock().refused = Some(Instant::now());
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -83,15 +83,20 @@
     took: Duration,
 ) {
     let target = endpoint.entry.target.as_ref().map_or("", |t| t.id.as_str());
-    let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+    let millis = |duration: Duration| u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+    let took_ms = millis(took);
+    let (load, age) = endpoint.load();
+    let load_age_ms = age.map_or(u64::MAX, millis);
     match answer {
-        Ok(response) => log::debug!(
+        Ok(response) => log::info!(
             event = "attempt",
             request_id = call.request_id.as_str(),
             version = call.version,
             node = endpoint.entry.node.as_str(),
             target_id = target,
             status = response.status.as_u16(),
+            route = call.route.name.as_str(),
+            service = call.service.as_str(),
             bytes = response.body.len(),
             took_ms = took_ms;
             ""
@@ -104,6 +109,13 @@
             target_id = target,
             reason = refusal.reason.to_string().as_str(),
             verdict = refusal.verdict.to_string().as_str(),
+            route = call.route.name.as_str(),
+            service = call.service.as_str(),
+            entry_revision = endpoint.entry.revision,
+            running = load.running,
+            queued = load.queued,
+            slots = load.slots,
+            load_age_ms = load_age_ms,
             took_ms = took_ms;
             ""
         ),
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -323,6 +323,8 @@
             event = "refused",
             request_id = request_id,
             status = status.as_u16(),
+            version = self.in_force.load().as_ref().map_or(0, |known| known.version.0),
+            nodes = self.directory.len(),
             reason = reason.as_str(),
             verdict = verdict.as_str(),
             took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod settings;
 pub mod sidecar;
 #[cfg(feature = "standin")]
+pub mod soak;
+#[cfg(feature = "standin")]
 pub mod standin;
 pub mod store;
 pub mod telemetry;
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -10,19 +10,19 @@
 use crate::h1::{Request, Response};
 use crate::platform::{config, notice};
 
-const REQUEST_ID: &str = "bluebellgap-request-id";
+pub(super) const REQUEST_ID: &str = "bluebellgap-request-id";
 /// Time that the sender waits, in milliseconds.
-const DEADLINE_MS: &str = "bluebellgap-deadline-ms";
+pub(super) const DEADLINE_MS: &str = "bluebellgap-deadline-ms";
 /// Identity of the target that is meant; any other refuses with 421.
-const EXPECT_INSTANCE: &str = "bluebellgap-expect-instance";
+pub(super) const EXPECT_INSTANCE: &str = "bluebellgap-expect-instance";
 /// Service of the VM on which the request began.
-const CALLER_SERVICE: &str = "bluebellgap-caller-service";
+pub(super) const CALLER_SERVICE: &str = "bluebellgap-caller-service";
 /// Signature that a target puts on its answers.
-const SERVER_STAMP: &str = "bluebellgap-server-stamp";
+pub(super) const SERVER_STAMP: &str = "bluebellgap-server-stamp";
 /// Mark of a refusal by a target that did not run the request.
-const NOT_RUN: &str = "bluebellgap-not-run";
+pub(super) const NOT_RUN: &str = "bluebellgap-not-run";
 /// Status of a target that is not the one that was meant.
-const MISDIRECTED: u16 = 421;
+pub(super) const MISDIRECTED: u16 = 421;
 
 /// The platform's manner of marking and writing messages.
 #[derive(Clone, Copy, Debug, Default)]
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,8 @@
 mod config;
 mod http;
 mod notice;
+#[cfg(feature = "standin")]
+pub(crate) mod sample;
 mod store;
 pub(crate) mod wire;
 
--- /dev/null
+++ b/src/platform/sample.rs
@@ -0,0 +1,101 @@
+//! Messages of operators and targets, as the stand-ins send them.
+
+use hyper::header::{HeaderMap, HeaderValue};
+use serde_json::{Value, json};
+
+use crate::dialect::{Heartbeat, Phase};
+use crate::platform::http::{
+    CALLER_SERVICE, DEADLINE_MS, EXPECT_INSTANCE, MISDIRECTED, NOT_RUN, REQUEST_ID, SERVER_STAMP,
+};
+
+/// Row of the newest configuration: table and key.
+pub(crate) const CONFIG_ROW: (&str, &str) = ("op", "config");
+
+/// A route of a sample configuration.
+pub(crate) struct Route<'a> {
+    /// Prefix of paths.
+    pub prefix: &'a str,
+    /// Service.
+    pub service: &'a str,
+    /// Whether requests may run more than once.
+    pub idempotent: bool,
+}
+
+/// A configuration for requests to any of `services` at `host`.
+pub(crate) fn config(version: u64, host: &str, services: &[&str], routes: &[Route]) -> String {
+    let mut resources: Vec<Value> = services
+        .iter()
+        .map(|name| json!({"KindOf": "Services", "Metadata": {"Name": name}, "Spec": {}}))
+        .collect();
+    resources.extend(routes.iter().map(|route| {
+        let kind = if route.idempotent { "safe" } else { "unsafe" };
+        json!({"KindOf": "Routes", "Metadata": {"Name": route.prefix}, "Spec": {
+            "Host": host, "Prefix": route.prefix, "Type": kind, "TimeoutS": 1.5, "GoalS": 0.5,
+            "Priority": 1, "Attempts": 3, "Service": route.service}})
+    }));
+    resources.push(json!({"KindOf": "Limits", "Metadata": {}, "Spec": {
+        "MaxHeaderBytes": 16384, "MaxBodyBytes": 1_048_576, "HeaderTimeoutS": 3,
+        "IdleTimeoutS": 15}}));
+    json!({"Version": version, "Resources": resources}).to_string()
+}
+
+/// Path and body of a heartbeat.
+pub(crate) fn heartbeat(beat: &Heartbeat) -> (String, String) {
+    let state = match beat.phase {
+        Phase::Ready => "ready",
+        Phase::Draining => "draining",
+    };
+    let body = json!({"Address": "", "born": beat.started_ms,
+        "Info": {"Service": beat.service, "Version": "v1", "Zone": "", "Slots": beat.slots},
+        "Status": {"State": state, "Sequence": beat.sequence, "ColdLeftS": 0}});
+    (path(&beat.id), body.to_string())
+}
+
+/// Path under which a target speaks of itself.
+pub(crate) fn path(id: &str) -> String {
+    format!("/instances/{id}")
+}
+
+/// What a target reads in a request.
+pub(crate) struct Received {
+    /// Id of the request.
+    pub request_id: String,
+    /// Identity of the target that is meant.
+    pub expected: String,
+    /// Service of the caller.
+    pub caller_service: String,
+}
+
+/// Reads the marks of a request at a target; `None` if one is missing.
+pub(crate) fn received(headers: &HeaderMap) -> Option<Received> {
+    let text = |name| Some(headers.get(name)?.to_str().ok()?.to_owned());
+    text(DEADLINE_MS)?;
+    Some(Received {
+        request_id: text(REQUEST_ID)?,
+        expected: text(EXPECT_INSTANCE)?,
+        caller_service: text(CALLER_SERVICE)?,
+    })
+}
+
+/// Marks a target's answer.
+pub(crate) fn sign(headers: &mut HeaderMap, request_id: &str) {
+    if let Ok(id) = HeaderValue::from_str(request_id) {
+        headers.insert(REQUEST_ID, id);
+    }
+    headers.insert(SERVER_STAMP, HeaderValue::from_static("sample"));
+}
+
+/// Status of a target that is not the one that was meant.
+pub(crate) const fn misdirected() -> u16 {
+    MISDIRECTED
+}
+
+/// Marks a refusal of a target that did not run the request.
+pub(crate) fn mark_not_run(headers: &mut HeaderMap) {
+    headers.insert(NOT_RUN, HeaderValue::from_static("1"));
+}
+
+/// Headers that a caller sends.
+pub(crate) fn caller_headers(request_id: &str, patience_ms: u64) -> String {
+    format!("{REQUEST_ID}: {request_id}\r\n{DEADLINE_MS}: {patience_ms}\r\n")
+}
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -78,7 +78,8 @@
             data_center: settings.data_center.clone(),
         }));
         let mesh = crate::http::bind(settings.listen.mesh)?;
-        let own = own_entry(&settings, mesh.local_addr()?);
+        let advertised = settings.listen.advertise;
+        let own = own_entry(&settings, advertised.map_or_else(|| mesh.local_addr(), Ok)?);
         log::info!(
             event = "start",
             node = own.node.as_str(),
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -45,6 +45,8 @@
     pub caller: SocketAddr,
     /// Links from other nodes.
     pub mesh: SocketAddr,
+    /// Where other nodes are told to open links; `mesh` where absent.
+    pub advertise: Option<SocketAddr>,
     /// Heartbeats of the target.
     pub heartbeat: Option<SocketAddr>,
     /// Readiness.
@@ -150,6 +152,7 @@
     Listen {
         caller: address(reader, "caller"),
         mesh: address(reader, "mesh"),
+        advertise: reader.parsed("advertise", ADDRESS),
         heartbeat: reader.parsed("heartbeat", ADDRESS),
         admin: address(reader, "admin"),
         metrics: reader.parsed("metrics", ADDRESS),
--- a/src/target/side.rs
+++ b/src/target/side.rs
@@ -217,9 +217,10 @@
         if left.is_zero() {
             return Err(Refusal::not_run(Reason::Deadline));
         }
-        log::debug!(
+        log::info!(
             event = "admitted",
             request_id = offer.request_id.as_str(),
+            service = offer.service.as_str(),
             target_id = id.as_str(),
             waited_ms = millis(waited),
             left_ms = millis(left);
