--- a/src/soak/mod.rs
+++ b/src/soak/mod.rs
@@ -104,6 +104,12 @@
 }
 
 impl Net {
+    /// Addresses that no other seed of this or another process is likely to use at the same time.
+    fn of(seed: u64) -> Self {
+        let part = (u64::from(std::process::id()) + seed) % 200;
+        Self(20 + u8::try_from(part).unwrap_or_default())
+    }
+
     fn address(self, node: u8, role: Role, port: u16) -> SocketAddr {
         let ip = Ipv4Addr::new(127, self.0, node + 1, role as u8 + 1);
         SocketAddr::new(IpAddr::V4(ip), port)
@@ -116,7 +122,7 @@
 /// Fails if the mesh cannot be started; broken promises are in the report.
 pub async fn run(options: &Options) -> Result<Report> {
     let mut rng = StdRng::seed_from_u64(options.seed);
-    let net = Net(20 + (std::process::id() % 200) as u8);
+    let net = Net::of(options.seed);
     let store = Arc::new(StoreServer::start_at(net.address(
         200,
         Role::Node,
--- a/src/soak/relay.rs
+++ b/src/soak/relay.rs
@@ -9,6 +9,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::AbortHandle;
 
 use crate::error::Result;
 
@@ -36,6 +37,13 @@
     reset: watch::Sender<u64>,
     /// Connections of earlier generations are silent for good.
     muted: Arc<AtomicU64>,
+    accepting: AbortHandle,
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
 }
 
 #[derive(Clone)]
@@ -52,8 +60,13 @@
         let (mode, modes) = watch::channel(Mode::Pass);
         let (reset, resets) = watch::channel(0);
         let muted = Arc::new(AtomicU64::new(0));
-        tokio::spawn(accept(listener, to, modes, resets, muted.clone()));
-        Ok(Self { mode, reset, muted })
+        let accepting = tokio::spawn(accept(listener, to, modes, resets, muted.clone()));
+        Ok(Self {
+            mode,
+            reset,
+            muted,
+            accepting: accepting.abort_handle(),
+        })
     }
 
     pub(super) fn set(&self, mode: Mode) {
