Hand the request path and claims what they need instead of the whole node

Cause: 19 files formed one circle through node::Core, which everything held. Change: proxy::Parts and the port Membership, claim::Neighbours, peers by Arc; node only assembles.

--- a/src/claim/mod.rs
+++ b/src/claim/mod.rs
@@ -7,15 +7,16 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError, Weak};
-use std::time::{Duration, Instant};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError, Weak};
+use std::time::Duration;
 
 use jsonrpsee_http_client::HttpClient;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::claim::owner::Assignments;
 use crate::claim::shard::Shard;
-use crate::node::Core;
+use crate::peers::Peers;
+use crate::roster::Member;
 use crate::store::Table;
 use crate::wire::{Claim, ControlClient as _, Grant, Owner, OwnerQuery, Settlement};
 
@@ -27,12 +28,25 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 const LOOKUP_TRIES: u32 = 3;
 
+/// What claims need to know of the node's data centre.
+pub(crate) trait Neighbours: Send + Sync {
+    /// Whether this node acts as registrar.
+    fn is_registrar(&self) -> bool;
+
+    /// Control listener of the registrar, if one is known.
+    fn registrar(&self) -> Option<SocketAddr>;
+
+    /// Members of this data centre.
+    fn members(&self) -> Vec<Arc<Member>>;
+}
+
 /// A node's part in claims: as a client, and as the owner of shards.
 pub(crate) struct Claims {
     table: Arc<dyn Table>,
     node: String,
     control: SocketAddr,
-    core: Weak<Core>,
+    peers: Arc<Peers>,
+    neighbours: OnceLock<Weak<dyn Neighbours>>,
     owners: Mutex<HashMap<u32, Owner>>,
     shards: tokio::sync::Mutex<HashMap<u32, Arc<Shard>>>,
     assignments: Assignments,
@@ -48,19 +62,29 @@
         table: Arc<dyn Table>,
         node: &str,
         control: SocketAddr,
-        core: Weak<Core>,
+        peers: Arc<Peers>,
     ) -> Self {
         Self {
-            assignments: Assignments::new(table.clone()),
+            assignments: Assignments::new(table.clone(), peers.clone()),
             table,
             node: node.to_owned(),
             control,
-            core,
+            peers,
+            neighbours: OnceLock::new(),
             owners: Mutex::new(HashMap::new()),
             shards: tokio::sync::Mutex::new(HashMap::new()),
         }
     }
 
+    /// Gives the roster that owners are chosen from. Without one, no owner is found.
+    pub(crate) fn connect(&self, neighbours: Weak<dyn Neighbours>) {
+        let _ = self.neighbours.set(neighbours);
+    }
+
+    fn neighbours(&self) -> Option<Arc<dyn Neighbours>> {
+        self.neighbours.get()?.upgrade()
+    }
+
     /// Asks the shard's owner, wherever it is, for the right to dispatch a request.
     pub(crate) async fn request(&self, claim: &Claim) -> Grant {
         let shard = shard_of(&claim.key);
@@ -90,12 +114,9 @@
             if owner.node == self.node {
                 return self.settle(settlement.clone()).await;
             }
-            let Some(core) = self.core.upgrade() else {
-                return;
-            };
             let message = settlement.clone();
             let call = async |client: HttpClient| client.settle(message).await;
-            match core.peers.call(owner.control, CALL_TIMEOUT, call).await {
+            match self.peers.call(owner.control, CALL_TIMEOUT, call).await {
                 Ok(()) => return,
                 Err(_) => self.lock_owners().remove(&shard),
             };
@@ -106,10 +127,9 @@
         if owner.node == self.node {
             return Some(self.claim(claim.clone()).await);
         }
-        let core = self.core.upgrade()?;
         let message = claim.clone();
         let call = async |client: HttpClient| client.claim(message).await;
-        core.peers
+        self.peers
             .call(owner.control, CALL_TIMEOUT, call)
             .await
             .ok()
@@ -122,14 +142,14 @@
         {
             return Some(owner.clone());
         }
-        let core = self.core.upgrade()?;
+        let neighbours = self.neighbours()?;
         let query = OwnerQuery { shard, failed };
-        let owner = if core.lease.acting().is_some() {
+        let owner = if neighbours.is_registrar() {
             self.owner(query).await
         } else {
-            let registrar = core.registrar()?.holder.control;
+            let registrar = neighbours.registrar()?;
             let call = async |client: HttpClient| client.owner(query).await;
-            core.peers
+            self.peers
                 .call(registrar, CALL_TIMEOUT, call)
                 .await
                 .ok()
@@ -156,8 +176,8 @@
 
     /// Says, as registrar, who owns a shard; appoints a new owner if the last one is dead.
     pub(crate) async fn owner(&self, query: OwnerQuery) -> Option<Owner> {
-        let core = self.core.upgrade()?;
-        self.assignments.owner(&core, query).await
+        let members = self.neighbours()?.members();
+        self.assignments.owner(&members, query).await
     }
 
     /// The shard's state if this node owns it; loaded from the platform when first asked for.
@@ -184,9 +204,3 @@
         self.owners.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// A value that is trusted for a limited time.
-struct Cached<T> {
-    value: T,
-    since: Instant,
-}
--- a/src/claim/owner.rs
+++ b/src/claim/owner.rs
@@ -7,9 +7,8 @@
 
 use jsonrpsee_http_client::HttpClient;
 
-use crate::claim::Cached;
 use crate::error::Result;
-use crate::node::Core;
+use crate::peers::Peers;
 use crate::rollout::position;
 use crate::roster::{Member, Presence};
 use crate::store::{Table, Transaction};
@@ -32,21 +31,29 @@
     }
 }
 
+/// A value that is trusted for a limited time.
+struct Cached<T> {
+    value: T,
+    since: Instant,
+}
+
 /// A registrar's knowledge of the shards' owners.
 pub(super) struct Assignments {
     table: Arc<dyn Table>,
+    peers: Arc<Peers>,
     cache: Mutex<HashMap<u32, Cached<Owner>>>,
 }
 
 impl Assignments {
-    pub(super) fn new(table: Arc<dyn Table>) -> Self {
+    pub(super) fn new(table: Arc<dyn Table>, peers: Arc<Peers>) -> Self {
         Self {
             table,
+            peers,
             cache: Mutex::new(HashMap::new()),
         }
     }
 
-    pub(super) async fn owner(&self, core: &Core, query: OwnerQuery) -> Option<Owner> {
+    pub(super) async fn owner(&self, members: &[Arc<Member>], query: OwnerQuery) -> Option<Owner> {
         let cached = self.cached(query.shard);
         if cached.is_some() && cached != query.failed {
             return cached;
@@ -54,8 +61,8 @@
         let row = read(&*self.table, query.shard).await.ok()?;
         let owner = match row {
             Some((owner, _)) if Some(&owner) != query.failed.as_ref() => owner,
-            Some((owner, _)) if alive(core, &owner).await => owner,
-            row => self.appoint(core, query.shard, row).await?,
+            Some((owner, _)) if self.is_alive(&owner).await => owner,
+            row => self.appoint(members, query.shard, row).await?,
         };
         let entry = Cached {
             value: owner.clone(),
@@ -66,9 +73,14 @@
     }
 
     /// Writes a new owner under the next epoch; if another registrar was faster, its choice holds.
-    async fn appoint(&self, core: &Core, shard: u32, last: Option<(Owner, u64)>) -> Option<Owner> {
+    async fn appoint(
+        &self,
+        members: &[Arc<Member>],
+        shard: u32,
+        last: Option<(Owner, u64)>,
+    ) -> Option<Owner> {
         let dead = last.as_ref().map(|(owner, _)| owner.node.clone());
-        let member = choose(core, shard, dead.as_deref())?;
+        let member = choose(members, shard, dead.as_deref())?;
         let owner = Owner {
             node: member.node.clone(),
             control: member.control,
@@ -84,6 +96,17 @@
         Some(owner)
     }
 
+    async fn is_alive(&self, owner: &Owner) -> bool {
+        for _ in 0..PROBES {
+            let call = async |client: HttpClient| client.probe().await;
+            let answer = self.peers.call(owner.control, PROBE_TIMEOUT, call).await;
+            if answer.is_ok_and(|alive| alive.node == owner.node) {
+                return true;
+            }
+        }
+        false
+    }
+
     fn cached(&self, shard: u32) -> Option<Owner> {
         let cache = self.lock();
         let entry = cache.get(&shard)?;
@@ -96,22 +119,9 @@
 }
 
 /// Spreads shards over the serving members of the registrar's data centre.
-fn choose(core: &Core, shard: u32, dead: Option<&str>) -> Option<Arc<Member>> {
-    let roster = core.roster();
-    let members = roster.center(&core.settings.data_center).iter();
-    let serving = members.filter(|m| m.presence == Presence::Serving);
+fn choose(members: &[Arc<Member>], shard: u32, dead: Option<&str>) -> Option<Arc<Member>> {
+    let serving = members.iter().filter(|m| m.presence == Presence::Serving);
     let alive = serving.filter(|member| Some(member.node.as_str()) != dead);
     let best = alive.max_by_key(|member| position(u64::from(shard) + 1, &member.node));
     best.cloned()
 }
-
-async fn alive(core: &Core, owner: &Owner) -> bool {
-    for _ in 0..PROBES {
-        let call = async |client: HttpClient| client.probe().await;
-        let answer = core.peers.call(owner.control, PROBE_TIMEOUT, call).await;
-        if answer.is_ok_and(|alive| alive.node == owner.node) {
-            return true;
-        }
-    }
-    false
-}
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -1,15 +1,16 @@
 //! The state that the tasks of one node share.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError, Weak};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
+use async_trait::async_trait;
 use tokio::sync::{Notify, mpsc};
 
-use crate::claim::Claims;
+use crate::claim::{Claims, Neighbours};
 use crate::peers::Peers;
-use crate::proxy::Proxy;
+use crate::proxy::{Membership, Parts, Proxy};
 use crate::rollout::{Agent, Fetcher, Shelf, Sources};
 use crate::roster::{Applied, Change, Member, Offer, Presence, Roster, Suspicions, Update, View};
 use crate::settings::Settings;
@@ -41,16 +42,15 @@
 pub(crate) struct Core {
     pub settings: Settings,
     pub platform: Platform,
-    pub agent: Agent,
-    pub shelf: Arc<Shelf>,
-    pub peers: Peers,
+    pub agent: Arc<Agent>,
+    pub peers: Arc<Peers>,
     pub lease: Lease,
-    pub counters: Counters,
-    pub histograms: Histograms,
-    pub traffic: Traffic,
-    pub suspicions: Suspicions,
-    pub claims: Claims,
-    pub proxy: Proxy,
+    pub counters: Arc<Counters>,
+    pub histograms: Arc<Histograms>,
+    pub traffic: Arc<Traffic>,
+    pub suspicions: Arc<Suspicions>,
+    pub claims: Arc<Claims>,
+    proxy: OnceLock<Arc<Proxy>>,
     /// Wakes the membership task.
     pub announce: Notify,
     /// To the registrar's task.
@@ -65,6 +65,9 @@
 
 const TASK_QUEUE: usize = 65_536;
 
+/// Time for a short control message and its answer.
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
 impl Core {
     pub(crate) fn new(
         settings: Settings,
@@ -94,22 +97,33 @@
             fetcher,
         );
         let (tasks, inbox) = mpsc::channel(TASK_QUEUE);
-        Arc::new_cyclic(|core| Self {
-            agent,
+        let peers = Arc::new(Peers::new(&settings.region));
+        let claims = Claims::new(
+            platform.table.clone(),
+            &settings.node,
+            control,
+            peers.clone(),
+        );
+        let parts = Parts {
+            settings: settings.clone(),
+            agent: Arc::new(agent),
             shelf,
-            peers: Peers::new(&settings.region),
+            claims: Arc::new(claims),
+            suspicions: Arc::default(),
+            counters: Arc::new(Counters::new()),
+            histograms: Arc::default(),
+            traffic: Arc::default(),
+        };
+        let core = Arc::new(Self {
+            agent: parts.agent.clone(),
+            peers,
             lease,
-            counters: Counters::new(),
-            histograms: Histograms::default(),
-            traffic: Traffic::default(),
-            suspicions: Suspicions::default(),
-            claims: Claims::new(
-                platform.table.clone(),
-                &settings.node,
-                control,
-                core.clone(),
-            ),
-            proxy: Proxy::new(&settings, core.clone()),
+            counters: parts.counters.clone(),
+            histograms: parts.histograms.clone(),
+            traffic: parts.traffic.clone(),
+            suspicions: parts.suspicions.clone(),
+            claims: parts.claims.clone(),
+            proxy: OnceLock::new(),
             announce: Notify::new(),
             tasks,
             inbox: Mutex::new(Some(inbox)),
@@ -120,7 +134,17 @@
             directory: ArcSwap::default(),
             settings,
             platform,
-        })
+        });
+        let neighbours: Weak<dyn Neighbours> = Arc::downgrade(&core) as _;
+        core.claims.connect(neighbours);
+        let membership = Arc::new(Seat(Arc::downgrade(&core)));
+        let _ = core.proxy.set(Proxy::new(parts, membership));
+        core
+    }
+
+    /// The node's request path.
+    pub(crate) fn proxy(&self) -> &Arc<Proxy> {
+        self.proxy.get().expect("set when the core is made")
     }
 
     /// This node's own entry in the roster.
@@ -184,7 +208,7 @@
     fn publish(&self, view: &View) {
         let roster = Arc::new(view.roster());
         self.roster.store(roster.clone());
-        self.proxy.roster_changed(&roster);
+        self.proxy().roster_changed(&roster);
         let own = view.find(&self.settings.data_center, &self.settings.node);
         if own.is_none_or(|own| self.member().newer_than(&own)) {
             self.announce.notify_one();
@@ -253,7 +277,7 @@
         let Some(known) = self.registrar() else {
             return;
         };
-        let limit = super::membership::CALL_TIMEOUT;
+        let limit = CALL_TIMEOUT;
         let call = async |client: jsonrpsee_http_client::HttpClient| client.report(change).await;
         if let Err(error) = self.peers.call(known.holder.control, limit, call).await {
             log::debug!("report to the registrar: {error}");
@@ -277,6 +301,43 @@
     }
 }
 
+impl Neighbours for Core {
+    fn is_registrar(&self) -> bool {
+        self.lease.acting().is_some()
+    }
+
+    fn registrar(&self) -> Option<SocketAddr> {
+        Self::registrar(self).map(|known| known.holder.control)
+    }
+
+    fn members(&self) -> Vec<Arc<Member>> {
+        self.roster().center(&self.settings.data_center).to_vec()
+    }
+}
+
+/// The node's place in the roster, as its request path sees it. Holds the node weakly: the request
+/// path belongs to it.
+struct Seat(Weak<Core>);
+
+#[async_trait]
+impl Membership for Seat {
+    fn member(&self) -> Option<Member> {
+        self.0.upgrade().map(|core| core.member())
+    }
+
+    fn set_presence(&self, presence: Presence) {
+        if let Some(core) = self.0.upgrade() {
+            core.set_presence(presence);
+        }
+    }
+
+    async fn report(&self, change: Change) {
+        if let Some(core) = self.0.upgrade() {
+            core.report(change).await;
+        }
+    }
+}
+
 fn own_member(settings: &Settings, mesh: SocketAddr, control: SocketAddr) -> Member {
     let started = SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/src/node/lead.rs
+++ b/src/node/lead.rs
@@ -9,9 +9,10 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
+use crate::node::core::CALL_TIMEOUT;
 use crate::node::core::{Core, Task};
 use crate::node::delivery;
-use crate::node::membership::{self, CALL_TIMEOUT};
+use crate::node::membership;
 use crate::node::source;
 use crate::rollout::{Report, Tally, position};
 use crate::roster::{Change, Member, Registrar, Update};
--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -8,16 +8,13 @@
 use jsonrpsee_http_client::HttpClient;
 use tokio::sync::watch;
 
-use crate::node::core::Core;
+use crate::node::core::{CALL_TIMEOUT, Core};
 use crate::node::{delivery, lead};
 use crate::rollout::position;
 use crate::roster::Member;
 use crate::store::Holder;
 use crate::wire::{ControlClient as _, Silence, Welcome};
 
-/// Time for a short control message and its answer.
-pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(1);
-
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 const MAX_FAILURES_COUNTED: u32 = 5;
 const HERD_SPREAD_PER_MEMBER: Duration = Duration::from_millis(2);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -60,8 +60,8 @@
         let control = control::Listener::bind(listen.control)?;
         let mesh_port = Server::reserve(listen.mesh)?;
         let core = Core::new(settings, platform, mesh_port.address()?, control.address());
-        let mesh = mesh_port.start(proxy::mesh_handler(core.clone()))?;
-        let caller = Server::start(listen.caller, proxy::caller_handler(core.clone()))?;
+        let mesh = mesh_port.start(proxy::mesh_handler(core.proxy().clone()))?;
+        let caller = Server::start(listen.caller, proxy::caller_handler(core.proxy().clone()))?;
         let admin = Server::start(listen.admin, admin::handler(core.clone()))?;
         let addresses = Addresses {
             caller: caller.address(),
@@ -70,7 +70,7 @@
             admin: admin.address(),
         };
         control.start(core.clone(), stopped.clone());
-        core.proxy.start(stopped.clone());
+        core.proxy().start(stopped.clone());
         tokio::spawn(membership::run(core.clone(), stopped.clone()));
         tokio::spawn(membership::probe_neighbours(core.clone(), stopped.clone()));
         tokio::spawn(membership::pull_from_peers(core.clone(), stopped.clone()));
@@ -152,11 +152,11 @@
     pub async fn leave(self) {
         log::info!("leaving");
         let timing = self.core.settings.timing;
-        self.core.proxy.drain();
+        self.core.proxy().drain();
         self.core.set_presence(Presence::Leaving);
         tokio::time::sleep(timing.departure).await;
         let drained = async {
-            self.core.proxy.idle().await;
+            self.core.proxy().idle().await;
             tokio::join!(self.caller.close().finished(), self.mesh.close().finished());
         };
         if tokio::time::timeout(timing.drain, drained).await.is_err() {
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::http::{Body, Connection, Held, Pool, SendError, empty, full, read_whole};
-use crate::node::Core;
+use crate::proxy::Proxy;
 use crate::proxy::call::Call;
 use crate::proxy::headers;
 use crate::proxy::requests::{Phase, REQUEST_PATH};
@@ -30,28 +30,27 @@
 
 /// Tries targets until one answers, the attempts or the budget are used up, or a failure forbids
 /// another attempt.
-pub(super) async fn dispatch(core: &Arc<Core>, call: &Arc<Call>) -> Answer {
+pub(super) async fn dispatch(proxy: &Arc<Proxy>, call: &Arc<Call>) -> Answer {
     if call.left().is_zero() {
         return Err(Refusal::not_run(Reason::Deadline));
     }
     let mut tried = Vec::new();
     let mut last = Refusal::not_run(Reason::NoTarget);
     for number in 0..MAX_ATTEMPTS {
-        if number > 0 && !may_retry(core, call, &last) {
+        if number > 0 && !may_retry(proxy, call, &last) {
             break;
         }
         if number > 1 {
             sleep(full_jitter(number).min(call.left())).await;
         }
-        let Some(endpoint) = core
-            .proxy
+        let Some(endpoint) = proxy
             .balancer
             .choose(&call.route.group, call.route.kind, &tried)
         else {
             break;
         };
         tried.push(endpoint.member.node.clone());
-        match hedged(core, call, endpoint, &mut tried).await {
+        match hedged(proxy, call, endpoint, &mut tried).await {
             Ok(response) => return Ok(response),
             Err(refusal) => last = worse(last, refusal),
         }
@@ -70,15 +69,15 @@
     refusal
 }
 
-fn may_retry(core: &Core, call: &Call, last: &Refusal) -> bool {
+fn may_retry(proxy: &Proxy, call: &Call, last: &Refusal) -> bool {
     let harmless = last.verdict == Verdict::NotRun || call.route.idempotent;
     let elsewhere = !matches!(last.reason, Reason::Suspected | Reason::Deadline);
-    let suspected = core.suspicions.refuses(call.fingerprint);
+    let suspected = proxy.suspicions.refuses(call.fingerprint);
     if !harmless || !elsewhere || suspected || call.left().is_zero() {
         return false;
     }
-    core.counters.count("retries");
-    core.proxy.budget.withdraw()
+    proxy.counters.count("retries");
+    proxy.budget.withdraw()
 }
 
 fn full_jitter(attempt: u32) -> Duration {
@@ -87,14 +86,14 @@
 
 /// One attempt; for idempotent calls a second one elsewhere if the first is late.
 async fn hedged(
-    core: &Arc<Core>,
+    proxy: &Arc<Proxy>,
     call: &Arc<Call>,
     endpoint: Arc<Endpoint>,
     tried: &mut Vec<String>,
 ) -> Answer {
     let typical = Duration::from_secs_f64(endpoint.latency(call.route.kind));
     let delay = typical.mul_f64(HEDGE_LATENCY_MULTIPLE).max(HEDGE_FLOOR);
-    let first = attempt(core, call, endpoint.clone());
+    let first = attempt(proxy, call, endpoint.clone());
     tokio::pin!(first);
     if !call.route.idempotent || typical.is_zero() {
         return first.await;
@@ -103,11 +102,11 @@
         answer = &mut first => return answer,
         () = sleep(delay) => endpoint.note_unanswered(call.route.kind, delay),
     }
-    let Some(second) = hedge_endpoint(core, call, &endpoint, tried) else {
+    let Some(second) = hedge_endpoint(proxy, call, &endpoint, tried) else {
         return first.await;
     };
-    core.counters.count("hedges");
-    let second = attempt(core, call, second);
+    proxy.counters.count("hedges");
+    let second = attempt(proxy, call, second);
     tokio::pin!(second);
     tokio::select! {
         answer = &mut first => match answer {
@@ -122,17 +121,16 @@
 }
 
 fn hedge_endpoint(
-    core: &Core,
+    proxy: &Proxy,
     call: &Call,
     first: &Endpoint,
     tried: &mut Vec<String>,
 ) -> Option<Arc<Endpoint>> {
-    let second = core
-        .proxy
+    let second = proxy
         .balancer
         .choose(&call.route.group, call.route.kind, tried)?;
     let crosses = second.member.region != first.member.region;
-    if crosses || second.refusing() || !core.proxy.budget.withdraw() {
+    if crosses || second.refusing() || !proxy.budget.withdraw() {
         return None;
     }
     tried.push(second.member.node.clone());
@@ -140,11 +138,11 @@
 }
 
 /// Sends the call to one target's node and waits for the head of the answer.
-async fn attempt(core: &Arc<Core>, call: &Arc<Call>, endpoint: Arc<Endpoint>) -> Answer {
+async fn attempt(proxy: &Arc<Proxy>, call: &Arc<Call>, endpoint: Arc<Endpoint>) -> Answer {
     let id = rand::random::<u64>();
-    let request = request(core, call, id);
-    if endpoint.member.region != core.settings.region {
-        core.counters.count("calls_across_regions");
+    let request = request(proxy, call, id);
+    if endpoint.member.region != proxy.settings.region {
+        proxy.counters.count("calls_across_regions");
     }
     let in_flight = endpoint.begin(call.route.kind);
     let pool = endpoint.pool.clone();
@@ -155,7 +153,7 @@
     let deadline = Instant::from_std(call.deadline);
     loop {
         tokio::select! {
-            answer = &mut answer => return take_answer(core, call, &endpoint, in_flight, answer),
+            answer = &mut answer => return take_answer(proxy, call, &endpoint, in_flight, answer),
             () = sleep_until(deadline) => {
                 in_flight.end(Outcome::Failed);
                 return Err(give_up(&endpoint, id).await);
@@ -163,7 +161,7 @@
             () = sleep(patience) => {}
         }
         endpoint.note_unanswered(call.route.kind, in_flight.elapsed());
-        core.counters.count("inquiries");
+        proxy.counters.count("inquiries");
         let phase = inquire(&endpoint, id).await;
         let lost = match phase {
             Some(Phase::Running) => None,
@@ -176,9 +174,9 @@
         };
         if let Some(refusal) = lost {
             if let Ok(answer) = timeout(ANSWER_GRACE, &mut answer).await {
-                return take_answer(core, call, &endpoint, in_flight, answer);
+                return take_answer(proxy, call, &endpoint, in_flight, answer);
             }
-            core.counters.count("silent_connections");
+            proxy.counters.count("silent_connections");
             endpoint.pool.purge();
             in_flight.end(Outcome::Failed);
             return Err(refusal);
@@ -210,17 +208,17 @@
     timeout(INQUIRY_TIMEOUT, exchange).await.ok().flatten()
 }
 
-fn request(core: &Core, call: &Call, id: u64) -> Request<Body> {
+fn request(proxy: &Proxy, call: &Call, id: u64) -> Request<Body> {
     let mut request = Request::new(full(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = call.headers.clone();
-    call.envelope(core, id).write(request.headers_mut());
+    call.envelope(proxy, id).write(request.headers_mut());
     request
 }
 
 fn take_answer(
-    core: &Core,
+    proxy: &Proxy,
     call: &Call,
     endpoint: &Endpoint,
     in_flight: InFlight,
@@ -233,7 +231,7 @@
             }
             let refusal = headers::read_refusal(response.status(), response.headers());
             if let Some(refusal) = refusal {
-                note_crash(core, call, endpoint, response.headers());
+                note_crash(proxy, call, endpoint, response.headers());
                 in_flight.end(match refusal.reason {
                     Reason::Overloaded | Reason::Draining => Outcome::Refused,
                     Reason::ConnectionLost => Outcome::Failed,
@@ -242,7 +240,7 @@
                 return Err(refusal);
             }
             in_flight.end(Outcome::Answered);
-            core.proxy.throttle(&call.route.service).accepted();
+            proxy.throttle(&call.route.service).accepted();
             let mut response = response.map(http_body_util::BodyExt::boxed);
             headers::strip_hop_by_hop(response.headers_mut());
             headers::strip_own(response.headers_mut());
@@ -263,9 +261,9 @@
 }
 
 /// Notes the crash that lost this request, before the registrar's word of it arrives.
-fn note_crash(core: &Core, call: &Call, endpoint: &Endpoint, head: &hyper::HeaderMap) {
+fn note_crash(proxy: &Proxy, call: &Call, endpoint: &Endpoint, head: &hyper::HeaderMap) {
     if let Some(number) = headers::number(head, headers::CRASH) {
-        core.suspicions.note(&Crash {
+        proxy.suspicions.note(&Crash {
             node: endpoint.member.node.clone(),
             incarnation: endpoint.member.incarnation,
             number,
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -8,7 +8,7 @@
 use hyper::{Method, Uri};
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::node::Core;
+use crate::proxy::Proxy;
 use crate::proxy::headers::{self, Envelope};
 use crate::rollout::InForce;
 use crate::route::Matched;
@@ -95,7 +95,7 @@
     }
 
     /// What the target's node is told about an attempt.
-    pub(super) fn envelope(&self, core: &Core, request: u64) -> Envelope {
+    pub(super) fn envelope(&self, proxy: &Proxy, request: u64) -> Envelope {
         Envelope {
             request,
             version: self.version,
@@ -106,7 +106,7 @@
             reserved_short_percent: self.route.reserved_short_percent,
             left: self.left(),
             fingerprint: self.fingerprint,
-            suspect: core.suspicions.suspects(self.fingerprint),
+            suspect: proxy.suspicions.suspects(self.fingerprint),
         }
     }
 
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -8,20 +8,20 @@
 use hyper::{Request, Response};
 
 use crate::http::{Body, Handler, read_whole};
-use crate::node::Core;
+use crate::proxy::Proxy;
 use crate::proxy::call::Call;
 use crate::proxy::{attempt, claimed, headers};
 use crate::verdict::{Reason, Refusal, Verdict};
 
 /// Answers callers.
 pub(super) struct CallerSide {
-    pub core: Arc<Core>,
+    pub proxy: Arc<Proxy>,
 }
 
 #[async_trait]
 impl Handler for CallerSide {
     async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
-        let counters = &self.core.counters;
+        let counters = &self.proxy.counters;
         counters.count("calls");
         match self.serve(request).await {
             Ok(response) => response,
@@ -41,11 +41,11 @@
 impl CallerSide {
     async fn serve(&self, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
         let began = Instant::now();
-        let in_force = self.core.agent.in_force();
+        let in_force = self.proxy.agent.in_force();
         let in_force = in_force.ok_or_else(|| Refusal::not_run(Reason::NoBundle))?;
         let (head, body) = request.into_parts();
         let (route, deadline) = Call::resolve(&in_force, &head)?;
-        let limit = self.core.settings.limits.body_bytes;
+        let limit = self.proxy.settings.limits.body_bytes;
         let body = read_whole(body, limit).await;
         let body = body.map_err(|_| Refusal::not_run(Reason::BadRequest))?;
         let call = Call::new(&in_force, route, deadline, head, body);
@@ -57,26 +57,25 @@
     }
 
     async fn dispatch(&self, call: &Arc<Call>) -> Result<Response<Body>, Refusal> {
-        if self.core.suspicions.refuses(call.fingerprint) {
+        if self.proxy.suspicions.refuses(call.fingerprint) {
             return Err(Refusal::not_run(Reason::Suspected));
         }
         if self
-            .core
             .proxy
             .throttle(&call.route.service)
             .sheds(rand::random())
         {
             return Err(Refusal::not_run(Reason::Shed));
         }
-        self.core.proxy.budget.deposit();
+        self.proxy.budget.deposit();
         if call.route.idempotent {
-            return attempt::dispatch(&self.core, call).await;
+            return attempt::dispatch(&self.proxy, call).await;
         }
-        claimed::dispatch(&self.core, call).await
+        claimed::dispatch(&self.proxy, call).await
     }
 
     fn record(&self, call: &Call, began: Instant) {
-        let histograms = &self.core.histograms;
+        let histograms = &self.proxy.histograms;
         histograms.record(&format!("tenant.{}", call.tenant), began.elapsed());
         histograms.record(&format!("class.{}", call.route.class), began.elapsed());
     }
--- a/src/proxy/claimed.rs
+++ b/src/proxy/claimed.rs
@@ -6,7 +6,7 @@
 use hyper::Response;
 
 use crate::http::{Body, full, read_whole};
-use crate::node::Core;
+use crate::proxy::Proxy;
 use crate::proxy::call::Call;
 use crate::proxy::{attempt, headers};
 use crate::verdict::{Reason, Refusal, Verdict};
@@ -17,7 +17,7 @@
 
 /// Dispatches a call at most once per idempotency key; a repeat gets the recorded answer.
 pub(super) async fn dispatch(
-    core: &Arc<Core>,
+    proxy: &Arc<Proxy>,
     call: &Arc<Call>,
 ) -> Result<Response<Body>, Refusal> {
     let key = call
@@ -28,9 +28,9 @@
         fingerprint: call.fingerprint,
         attempt: rand::random(),
     };
-    let grant = tokio::time::timeout(call.left(), core.claims.request(&claim)).await;
+    let grant = tokio::time::timeout(call.left(), proxy.claims.request(&claim)).await;
     match grant.unwrap_or(Grant::Unavailable) {
-        Grant::Granted => run(core, call, claim).await,
+        Grant::Granted => run(proxy, call, claim).await,
         Grant::Answered(recorded) => replay(&recorded),
         Grant::Dispatched => Err(Refusal::may_have_run(Reason::Duplicate)),
         Grant::Mismatch => Err(Refusal::not_run(Reason::KeyReused)),
@@ -40,18 +40,22 @@
 
 /// Runs a granted call to its end even if the caller goes away, so that a repeat can have its
 /// answer.
-async fn run(core: &Arc<Core>, call: &Arc<Call>, claim: Claim) -> Result<Response<Body>, Refusal> {
-    let core = core.clone();
+async fn run(
+    proxy: &Arc<Proxy>,
+    call: &Arc<Call>,
+    claim: Claim,
+) -> Result<Response<Body>, Refusal> {
+    let proxy = proxy.clone();
     let call = call.clone();
     let running = tokio::spawn(async move {
-        let answer = attempt::dispatch(&core, &call).await;
+        let answer = attempt::dispatch(&proxy, &call).await;
         let (answer, outcome) = conclude(answer).await;
         let settlement = Settlement {
             key: claim.key,
             attempt: claim.attempt,
             outcome,
         };
-        tokio::spawn(async move { core.claims.report(&settlement).await });
+        tokio::spawn(async move { proxy.claims.report(&settlement).await });
         answer
     });
     running
--- a/src/proxy/target.rs
+++ b/src/proxy/target.rs
@@ -13,7 +13,7 @@
 
 use crate::admission::{Admission, Permit, Ticket};
 use crate::http::{Body, Connection, Held, Pool, SendError, full};
-use crate::node::Core;
+use crate::proxy::Proxy;
 use crate::proxy::headers::{self, Envelope};
 use crate::roster::{Change, Crash, Presence};
 use crate::route::Load;
@@ -40,11 +40,11 @@
     crash_number: Arc<AtomicU64>,
     /// Requests that were in flight at a crash run one at a time.
     isolation: Semaphore,
-    core: Weak<Core>,
+    proxy: Weak<Proxy>,
 }
 
 impl TargetSide {
-    pub(super) fn new(settings: &TargetSettings, queue: usize, core: Weak<Core>) -> Self {
+    pub(super) fn new(settings: &TargetSettings, queue: usize, proxy: Weak<Proxy>) -> Self {
         Self {
             settings: settings.clone(),
             admission: Admission::new(settings.slots, queue),
@@ -52,7 +52,7 @@
             crashes: Arc::default(),
             crash_number: Arc::new(AtomicU64::new(1)),
             isolation: Semaphore::new(1),
-            core,
+            proxy,
         }
     }
 
@@ -74,12 +74,12 @@
 
     /// Warms the connections and follows the target's health until `stopped` closes.
     pub(super) fn start(&self, mut stopped: watch::Receiver<()>) {
-        let core = self.core.clone();
+        let proxy = self.proxy.clone();
         let pool = self.pool.clone();
         let settings = self.settings.clone();
         tokio::spawn(async move {
             tokio::select! {
-                () = follow_health(core, pool, settings) => {}
+                () = follow_health(proxy, pool, settings) => {}
                 _ = stopped.changed() => {}
             }
         });
@@ -88,25 +88,25 @@
     /// Runs one request at the target.
     pub(super) async fn serve(
         &self,
-        core: &Arc<Core>,
+        proxy: &Arc<Proxy>,
         envelope: Envelope,
         head: hyper::http::request::Parts,
         body: Bytes,
     ) -> Result<Response<Body>, Refusal> {
         let fingerprint = envelope.fingerprint;
-        if core.suspicions.refuses(fingerprint) {
+        if proxy.suspicions.refuses(fingerprint) {
             return Err(Refusal::not_run(Reason::Suspected));
         }
         let deadline = Instant::now() + envelope.left;
-        let _isolated = self.isolate(core, &envelope).await?;
+        let _isolated = self.isolate(proxy, &envelope).await?;
         let permit = self.admission.admit(ticket(&envelope, deadline)).await?;
         let request = request(head, body, deadline);
         let sent = tokio::time::timeout_at(deadline.into(), self.pool.send(request)).await;
         match sent {
-            Ok(Ok(response)) => Ok(answer(core, fingerprint, permit, response)),
+            Ok(Ok(response)) => Ok(answer(proxy, fingerprint, permit, response)),
             Ok(Err(SendError::Unsent(error))) => {
                 log::debug!("target: {error}");
-                core.set_presence(Presence::Down);
+                proxy.membership.set_presence(Presence::Down);
                 Err(Refusal::not_run(Reason::ConnectionLost))
             }
             Ok(Err(SendError::Lost(error))) => {
@@ -121,15 +121,15 @@
     /// crash tells which of them it was.
     async fn isolate(
         &self,
-        core: &Core,
+        proxy: &Proxy,
         envelope: &Envelope,
     ) -> Result<Option<tokio::sync::SemaphorePermit<'_>>, Refusal> {
-        if !envelope.suspect && !core.suspicions.suspects(envelope.fingerprint) {
+        if !envelope.suspect && !proxy.suspicions.suspects(envelope.fingerprint) {
             return Ok(None);
         }
         let permit = tokio::time::timeout(envelope.left, self.isolation.acquire()).await;
         match permit {
-            Ok(Ok(permit)) if !core.suspicions.refuses(envelope.fingerprint) => Ok(Some(permit)),
+            Ok(Ok(permit)) if !proxy.suspicions.refuses(envelope.fingerprint) => Ok(Some(permit)),
             Ok(_) => Err(Refusal::not_run(Reason::Suspected)),
             Err(_) => Err(Refusal::not_run(Reason::Overloaded)),
         }
@@ -142,10 +142,10 @@
         if crashes.lost.len() == 1 {
             let crashes = self.crashes.clone();
             let number = self.crash_number.clone();
-            let core = self.core.clone();
+            let proxy = self.proxy.clone();
             tokio::spawn(async move {
                 tokio::time::sleep(CRASH_WINDOW).await;
-                report_crash(&core, &crashes, &number).await;
+                report_crash(&proxy, &crashes, &number).await;
             });
         }
         Refusal::may_have_run(Reason::ConnectionLost)
@@ -158,14 +158,19 @@
 }
 
 fn answer(
-    core: &Arc<Core>,
+    proxy: &Arc<Proxy>,
     fingerprint: u64,
     permit: Permit,
     response: Response<Held<Incoming, Connection>>,
 ) -> Response<Body> {
-    if core.suspicions.complete(fingerprint) {
-        let core = core.clone();
-        tokio::spawn(async move { core.report(Change::Cleared { fingerprint }).await });
+    if proxy.suspicions.complete(fingerprint) {
+        let proxy = proxy.clone();
+        tokio::spawn(async move {
+            proxy
+                .membership
+                .report(Change::Cleared { fingerprint })
+                .await;
+        });
     }
     let mut response = response.map(|body| Held::new(body, permit).boxed());
     headers::strip_hop_by_hop(response.headers_mut());
@@ -173,31 +178,33 @@
     response
 }
 
-async fn report_crash(core: &Weak<Core>, crashes: &Mutex<Crashes>, number: &AtomicU64) {
+async fn report_crash(proxy: &Weak<Proxy>, crashes: &Mutex<Crashes>, number: &AtomicU64) {
     let lost = {
         let mut crashes = crashes.lock().unwrap_or_else(PoisonError::into_inner);
         std::mem::take(&mut crashes.lost)
     };
     let number = number.fetch_add(1, Ordering::Relaxed);
-    let Some(core) = core.upgrade() else { return };
-    let fingerprints = core.suspicions.suspicious(lost);
+    let Some(proxy) = proxy.upgrade() else { return };
+    let fingerprints = proxy.suspicions.suspicious(lost);
     if fingerprints.is_empty() {
         return;
     }
-    core.counters.count("target_crashes");
-    let member = core.member();
+    proxy.counters.count("target_crashes");
+    let Some(member) = proxy.membership.member() else {
+        return;
+    };
     let crash = Crash {
         node: member.node,
         incarnation: member.incarnation,
         number,
         fingerprints,
     };
-    core.suspicions.note(&crash);
-    core.report(Change::Crashed(crash)).await;
+    proxy.suspicions.note(&crash);
+    proxy.membership.report(Change::Crashed(crash)).await;
 }
 
 /// Announces the target as down while it cannot be connected to, and as serving otherwise.
-async fn follow_health(core: Weak<Core>, pool: Pool, settings: TargetSettings) {
+async fn follow_health(proxy: Weak<Proxy>, pool: Pool, settings: TargetSettings) {
     let mut failures = 0;
     let mut warm = false;
     loop {
@@ -207,17 +214,17 @@
             Ok(Ok(_))
         );
         failures = if connected { 0 } else { failures + 1 };
-        let Some(core) = core.upgrade() else { return };
+        let Some(proxy) = proxy.upgrade() else { return };
         if connected && !warm {
             warm = pool.warm(settings.slots as usize).await.is_ok();
         }
         if connected {
-            core.set_presence(Presence::Serving);
+            proxy.membership.set_presence(Presence::Serving);
         } else if failures >= FAILURES_UNTIL_DOWN {
             warm = false;
-            core.set_presence(Presence::Down);
+            proxy.membership.set_presence(Presence::Down);
         }
-        drop(core);
+        drop(proxy);
         tokio::time::sleep(HEALTH_PERIOD).await;
     }
 }
