--- a/src/bin/bluebellgap/sidecar.rs
+++ b/src/bin/bluebellgap/sidecar.rs
@@ -11,6 +11,9 @@
 /// How often the settings file is looked at: it may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(1);
 
+/// Time for the last log lines to be written before the process ends.
+const FLUSH_LIMIT: Duration = Duration::from_millis(100);
+
 /// Runs a sidecar until SIGTERM or SIGINT, then leaves gracefully.
 pub(crate) async fn run(file: &Path) -> Result<()> {
     let mut text = read_text(file)?;
@@ -28,6 +31,7 @@
         reload(file, &mut text, &mut node);
     }
     node.leave().await;
+    bluebellgap::telemetry::lines::flush(FLUSH_LIMIT);
     Ok(())
 }
 
--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -62,8 +62,13 @@
         self.options.folder.join(format!("{}.{kind}", self.name))
     }
 
-    /// Starts the process.
+    /// Starts the process, unless it runs: overlapping faults may each end with a start.
     pub(super) fn spawn(&mut self) -> Result<()> {
+        if let Some(child) = &mut self.child
+            && child.try_wait()?.is_none()
+        {
+            return Ok(());
+        }
         let log = File::options()
             .create(true)
             .append(true)
--- a/src/telemetry/lines.rs
+++ b/src/telemetry/lines.rs
@@ -6,7 +6,7 @@
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use log::kv::{Key, Value, VisitSource};
@@ -23,6 +23,14 @@
 const WARNING_RESERVE: f64 = 0.25;
 
 static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+static QUEUE: OnceLock<SyncSender<Item>> = OnceLock::new();
+
+/// What the writing thread does next.
+enum Item {
+    Line(String),
+    /// Says when everything before it is written.
+    Flush(SyncSender<()>),
+}
 
 /// Lines that were left out because of the bounds.
 #[must_use]
@@ -34,6 +42,7 @@
 pub fn start() {
     let (sender, receiver) = sync_channel(QUEUED_LINES);
     std::thread::spawn(move || write_all(&receiver, io::stdout()));
+    let _ = QUEUE.set(sender.clone());
     let rate = Mutex::new(Rate::new());
     let env = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(env)
@@ -52,17 +61,34 @@
         .init();
 }
 
+/// Waits until the lines that were logged so far are written, at most for `limit`: the last thing
+/// that a process does before it ends.
+pub fn flush(limit: Duration) {
+    let Some(queue) = QUEUE.get() else { return };
+    let (done, written) = sync_channel(1);
+    if queue.try_send(Item::Flush(done)).is_ok() {
+        let _ = written.recv_timeout(limit);
+    }
+}
+
 /// Queues a line without waiting.
-fn queue(sender: &SyncSender<String>, line: String) {
-    if sender.try_send(line).is_err() {
+fn queue(sender: &SyncSender<Item>, line: String) {
+    if sender.try_send(Item::Line(line)).is_err() {
         LEFT_OUT.fetch_add(1, Ordering::Relaxed);
     }
 }
 
-fn write_all(lines: &Receiver<String>, mut out: impl Write) {
-    for line in lines {
-        if writeln!(out, "{line}").is_err() {
-            LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+fn write_all(items: &Receiver<Item>, mut out: impl Write) {
+    for item in items {
+        match item {
+            Item::Line(line) => {
+                if writeln!(out, "{line}").is_err() {
+                    LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+                }
+            }
+            Item::Flush(done) => {
+                let _ = done.try_send(());
+            }
         }
     }
 }
