A restarted node goes by what its earlier process announced; entries of lost nodes are deleted

Cause: found by reading, not by a run: a node that is killed after it acknowledged that its target leaves starts without that knowledge, and a late heartbeat from before would open the gate again; rows of VMs that are given back stayed for ever. Change: the announced heartbeat's number is kept in the entry and recalled from the store or a peer; the watcher deletes entries of neighbours unreachable for 30 s, a node without target deletes its own when it stops. Tests in target/tests/identity.rs.

--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -59,6 +59,7 @@
         target: Some(Target {
             id: format!("t-{node}"),
             started_ms: 1,
+            sequence: 1,
             service: "booking".into(),
             slots: 10,
             cold_ms: 0,
--- a/src/forward/tests/forwarder.rs
+++ b/src/forward/tests/forwarder.rs
@@ -78,6 +78,7 @@
         target: Some(Target {
             id: "t1".into(),
             started_ms: 1,
+            sequence: 1,
             service: "booking".into(),
             slots: 1,
             cold_ms: 0,
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -172,6 +172,8 @@
     pub id: String,
     /// Start of the target in milliseconds since 1970.
     pub started_ms: u64,
+    /// Number of the heartbeat that the announcement rests on.
+    pub sequence: u64,
     /// Service that it runs.
     pub service: String,
     /// Requests that it runs at the same time.
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use tokio::net::TcpStream;
@@ -48,9 +48,25 @@
 #[derive(Default)]
 struct Shared {
     unreachable: AtomicBool,
+    /// Since when every attempt to connect has failed.
+    failing_since: Mutex<Option<Instant>>,
     round_trip_us: AtomicU32,
 }
 
+impl Shared {
+    fn note_failing(&self, failing: bool) {
+        let mut since = self
+            .failing_since
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *since = if failing {
+            since.or_else(|| Some(Instant::now()))
+        } else {
+            None
+        };
+    }
+}
+
 /// A request that was offered; dropping it before the reply cancels it.
 pub(crate) struct Sent {
     ticket: Ticket,
@@ -133,6 +149,12 @@
         self.shared.unreachable.load(Ordering::Relaxed)
     }
 
+    /// Time for which every attempt to reach the peer has failed.
+    pub(crate) fn unreachable_for(&self) -> Option<Duration> {
+        let since = *self.shared.failing_since.lock().ok()?;
+        since.map(|since| since.elapsed())
+    }
+
     /// Round trip measured at the last connection, if any.
     pub(crate) fn round_trip(&self) -> Option<Duration> {
         let micros = self.shared.round_trip_us.load(Ordering::Relaxed);
@@ -179,6 +201,7 @@
             match self.connect().await {
                 Ok(session) => {
                     self.shared.unreachable.store(false, Ordering::Relaxed);
+                    self.shared.note_failing(false);
                     let ended = self.serve(session, first.take()).await;
                     if ended {
                         return;
@@ -330,6 +353,7 @@
     /// The peer cannot be reached: what was not sent has not run, what may be repeated is given
     /// back, and the rest waits for the peer to come back.
     async fn fail(&mut self, error: &io::Error, first: Option<Command>) {
+        self.shared.note_failing(true);
         if !self.shared.unreachable.swap(true, Ordering::Relaxed) {
             let address = self.address.to_string();
             log::info!(
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -10,7 +10,7 @@
 use crate::error::Result;
 use crate::link::Entry;
 use crate::sidecar::hub::Hub;
-use crate::sidecar::watcher::PING_PERIOD;
+use crate::sidecar::watcher::{PING_PERIOD, SWEEP_PERIOD};
 use crate::store::{Change, Changes, Feed, Row, Table, Transaction};
 
 /// Table of the nodes' entries.
@@ -208,8 +208,7 @@
     }
 }
 
-/// Deletes the node's own entry, as when it leaves for good. Tries once: other nodes find out by
-/// themselves.
+/// Deletes a node's entry. Tries once: what is missed is found again later.
 pub(super) async fn withdraw(table: &dyn Table, node: &str) {
     let transaction = Transaction::default().delete(&key(node));
     if let Err(error) = table.transact(&transaction).await {
@@ -228,6 +227,21 @@
     }
 }
 
+/// Deletes the entries of neighbours that are lost, while this node is the watcher, until `stopped`
+/// closes.
+pub(super) async fn sweep(table: Arc<dyn Table>, hub: Arc<Hub>, mut stopped: watch::Receiver<()>) {
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(SWEEP_PERIOD) => {}
+            _ = stopped.changed() => return,
+        }
+        for node in hub.lost_neighbours() {
+            log::info!(event = "node_lost", node = node.as_str(); "its entry is deleted");
+            withdraw(table.as_ref(), &node).await;
+        }
+    }
+}
+
 /// Asks other nodes while the store is away, before the first version, or while some node is known
 /// to have a higher one.
 pub(super) async fn consult(
--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -132,6 +132,16 @@
         self.announce.notify_one();
     }
 
+    /// Takes the node's own entry as an earlier process or the store has it.
+    fn meet_own(&self, entry: &Entry) {
+        if entry.incarnation < self.own().incarnation
+            && let Some(target) = &entry.target
+        {
+            self.side.recall(target);
+        }
+        self.outdo(entry);
+    }
+
     /// Raises the own entry above one that claims to be newer: an earlier process of this node, whose
     /// clock was ahead.
     fn outdo(&self, claimed: &Entry) {
@@ -156,7 +166,7 @@
             .into_iter()
             .partition(|entry| entry.node == own.node);
         for entry in &mine {
-            self.outdo(entry);
+            self.meet_own(entry);
         }
         self.directory.learn(others);
     }
@@ -231,6 +241,29 @@
         }
     }
 
+    /// Neighbours that could not be reached for long, if this node is the watcher. Asks all others
+    /// for a sign of life.
+    pub(crate) fn lost_neighbours(&self) -> Vec<String> {
+        if !self.is_watcher() {
+            return Vec::new();
+        }
+        let (ranked, _) = self.ranked();
+        let mut lost = Vec::new();
+        for node in ranked {
+            let Some(link) = self.directory.find(&node).and_then(|e| e.link.clone()) else {
+                continue;
+            };
+            link.ping();
+            if link
+                .unreachable_for()
+                .is_some_and(|since| since > watcher::LOST_AFTER)
+            {
+                lost.push(node);
+            }
+        }
+        lost
+    }
+
     /// Passes entries and the version on that the store brought to this node as the watcher.
     pub(crate) fn pass_on_entries(&self, entries: Vec<Entry>) {
         let news = News {
@@ -242,12 +275,14 @@
 
     /// Forgets a node whose row was deleted, and tells the neighbours.
     pub(crate) fn forget(&self, node: &str) {
+        if node == self.own().node {
+            // Another node took this one for lost.
+            self.announce.notify_one();
+            return;
+        }
         let Some(known) = self.directory.find(node) else {
             return;
         };
-        if known.entry.node == self.own().node {
-            return;
-        }
         let gone = vec![(node.to_owned(), known.entry.incarnation)];
         self.directory.forget(node, known.entry.incarnation);
         let news = News {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -35,6 +35,8 @@
 
 /// Time before the end of the grace time at which the process ends by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Time to delete the node's entry; whoever finds the node gone deletes it otherwise.
+const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after which connections end that have nothing in flight.
 const FINISH_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -175,7 +177,12 @@
             follow::take_entries,
             stopped.clone(),
         ));
-        tokio::spawn(follow::announce(table, hub.clone(), stopped.clone()));
+        tokio::spawn(follow::announce(
+            table.clone(),
+            hub.clone(),
+            stopped.clone(),
+        ));
+        tokio::spawn(follow::sweep(table, hub.clone(), stopped.clone()));
         tokio::spawn(follow::watch_neighbours(hub.clone(), stopped.clone()));
         tokio::spawn(follow::consult(
             seeds.collect(),
@@ -225,13 +232,13 @@
             tokio::time::sleep(FINISH_TIMEOUT).await;
         };
         let finished = tokio::time::timeout_at(deadline, finished).await;
+        if !self.side.has_target() {
+            // A node outlives its target only where the VM is given back.
+            let withdrawn = follow::withdraw(self.store.as_ref(), &self.settings.node);
+            let _ = tokio::time::timeout(WITHDRAW_TIMEOUT, withdrawn).await;
+        }
         log::info!(event = "stopped", in_flight = finished.is_err(); "");
     }
-
-    /// Removes the node's entry from the platform, as when its VM is given back.
-    pub async fn withdraw(&self) {
-        follow::withdraw(self.store.as_ref(), &self.settings.node).await;
-    }
 }
 
 fn own_entry(settings: &Settings, address: std::net::SocketAddr) -> Entry {
--- a/src/sidecar/watcher.rs
+++ b/src/sidecar/watcher.rs
@@ -18,6 +18,11 @@
 const SILENCE: Duration = Duration::from_millis(800);
 /// Time for a node to begin to hear the store before it is passed over.
 const DEAFNESS: Duration = Duration::from_millis(500);
+/// How often the watcher asks all its neighbours for a sign of life.
+pub(super) const SWEEP_PERIOD: Duration = Duration::from_secs(2);
+/// Time for which a neighbour could not be reached after which its entry is deleted; well above a
+/// restart, and a node that was only cut off announces itself again.
+pub(super) const LOST_AFTER: Duration = Duration::from_secs(30);
 /// Nodes that a node watches above it in rank.
 const WATCHED: usize = 4;
 
--- a/src/target/identity.rs
+++ b/src/target/identity.rs
@@ -28,6 +28,8 @@
     current: Option<Heartbeat>,
     heard: Option<Instant>,
     departed: VecDeque<Departure>,
+    /// Identity, start and heartbeat that an earlier process of the node went by.
+    recalled: Option<(String, u64, u64)>,
 }
 
 /// A target that has said that it leaves for good.
@@ -59,9 +61,25 @@
         self.heard.map(|heard| heard.elapsed())
     }
 
+    /// Goes by what an earlier process of the node knew: heartbeats up to `sequence` are old.
+    pub(crate) fn recall(&mut self, id: &str, started_ms: u64, sequence: u64) {
+        self.recalled = Some((id.to_owned(), started_ms, sequence));
+    }
+
+    fn is_recalled(&self, heartbeat: &Heartbeat) -> bool {
+        self.recalled
+            .as_ref()
+            .is_some_and(|(id, started_ms, sequence)| {
+                let earlier = heartbeat.started_ms < *started_ms;
+                let same = heartbeat.id == *id && heartbeat.started_ms == *started_ms;
+                earlier || same && heartbeat.sequence <= *sequence
+            })
+    }
+
     /// Takes a heartbeat unless it is older than what is known, as after a long delay.
     pub(crate) fn take(&mut self, heartbeat: Heartbeat) -> Taken {
-        if self.departed.iter().any(|left| left.means(&heartbeat)) {
+        let left = self.departed.iter().any(|left| left.means(&heartbeat));
+        if left || self.is_recalled(&heartbeat) {
             return Taken::Stale;
         }
         let newer = self.current.as_ref().is_none_or(|known| {
--- a/src/target/side.rs
+++ b/src/target/side.rs
@@ -111,6 +111,20 @@
         taken
     }
 
+    /// Takes what an earlier process of this node announced of the target, so that a heartbeat which
+    /// is older than that changes nothing.
+    pub(crate) fn recall(&self, target: &Target) {
+        let mut identity = lock(&self.identity);
+        if identity.current().is_none() {
+            identity.recall(&target.id, target.started_ms, target.sequence);
+        }
+    }
+
+    /// Whether a target is beside the node.
+    pub(crate) fn has_target(&self) -> bool {
+        lock(&self.identity).current().is_some()
+    }
+
     /// Notes that a target leaves for good.
     pub(crate) fn departed(self: &Arc<Self>, id: &str, started_ms: Option<u64>) {
         if lock(&self.identity).leave(id, started_ms, now_ms()) {
@@ -145,6 +159,7 @@
         let target = current.map(|known| Target {
             id: known.id.clone(),
             started_ms: known.started_ms,
+            sequence: known.sequence,
             service: known.service.clone(),
             slots: known.slots,
             cold_ms: u64::try_from(known.cold.as_millis()).unwrap_or(u64::MAX),
--- a/src/target/tests/identity.rs
+++ b/src/target/tests/identity.rs
@@ -25,9 +25,10 @@
 enum Event {
     Beat(&'static str, u64, u64, Phase),
     Leave(&'static str, Option<u64>),
+    Recall(&'static str, u64, u64),
 }
 
-use Event::{Beat, Leave};
+use Event::{Beat, Leave, Recall};
 use Phase::{Draining, Ready};
 
 /// Plays events; returns the identity and phase that are believed at the end.
@@ -38,6 +39,7 @@
             Beat(id, started_ms, sequence, phase) => {
                 identity.take(heartbeat(id, started_ms, sequence, phase));
             }
+            Recall(id, started_ms, sequence) => identity.recall(id, started_ms, sequence),
             Leave(id, started_ms) => {
                 identity.leave(id, started_ms, BORN + 50);
             }
@@ -77,6 +79,12 @@
     a_departure_of_an_earlier_target_does_not_touch_the_new_one:
         [Beat("a", BORN, 1, Ready), Beat("b", BORN + 10, 1, Ready), Leave("a", None)]
             => Some(("b", Ready)),
+    a_restarted_node_ignores_heartbeats_that_its_earlier_process_had_passed:
+        [Recall("a", BORN, 4), Beat("a", BORN, 3, Ready)] => None,
+    a_restarted_node_takes_later_heartbeats:
+        [Recall("a", BORN, 4), Beat("a", BORN, 5, Draining)] => Some(("a", Draining)),
+    a_restarted_node_takes_a_later_target:
+        [Recall("a", BORN, 4), Beat("b", BORN + 5, 1, Ready)] => Some(("b", Ready)),
     a_newer_target_replaces_the_earlier_one:
         [Beat("a", BORN, 30, Ready), Beat("b", BORN + 10, 1, Ready)] => Some(("b", Ready)),
 }
