A node that stops lets other nodes use its target until callers have left

Cause: each data centre of Hirenet has one target of a service; a restart took it away from SIGTERM on, 2.5 s longer than its VM's callers needed, and its requests were billed between data centres.

--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -216,16 +216,18 @@
         self.hub.versions.number()
     }
 
-    /// Takes no new work for the target, finishes what is in flight, and ends.
+    /// Says that the node is not ready, takes no new work for the target once callers know, finishes
+    /// what is in flight, and ends.
     pub async fn leave(mut self) {
         log::info!(event = "stop"; "leaving");
         let shutdown = self.settings.shutdown;
         let began = tokio::time::Instant::now();
         self.leaving.store(true, Ordering::Relaxed);
-        self.side.leave();
         let deadline = began + shutdown.grace.saturating_sub(GRACE_MARGIN);
         let finished = async {
+            // The target still runs, so other nodes may use it until this one has to end.
             tokio::time::sleep(shutdown.notice).await;
+            self.side.leave();
             self.side.idle().await;
             self.caller.finish().await;
             self.side.idle().await;
