Give up requests that can no longer be in time as soon as others will pass them

Change: when its latest start has passed, a request that would need more than half of its remaining patience is refused, as not run, with the time to come back. Refusals are logged with host and path. Test: one_that_cannot_be_in_time_any_more_is_given_up_before_its_patience_ends, red before.

--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -42,6 +42,9 @@
 /// Share of the objective for which targets are looked for again.
 const NO_TARGET_SHARE: f64 = 0.25;
 
+/// Bytes of a path that go into a log line.
+const MAX_LOGGED_PATH: usize = 128;
+
 /// Serves the callers on this VM.
 pub(crate) struct Forwarder {
     pub dialect: Arc<dyn Dialect>,
@@ -75,7 +78,7 @@
         self.counters.count("requests");
         match self.serve(&request, &request_id).await {
             Ok(response) => response,
-            Err(refusal) => self.refuse(&refusal, &request_id, began.elapsed()),
+            Err(refusal) => self.refuse(&refusal, &request, &request_id, began.elapsed()),
         }
     }
 }
@@ -115,10 +118,9 @@
     async fn serve(&self, request: &Request, request_id: &str) -> Result<Response, Refusal> {
         let in_force = self.in_force.load_full();
         let in_force = in_force.ok_or_else(|| Refusal::not_run(Reason::NoBundle))?;
-        let host = request.headers.get("host").and_then(|h| h.to_str().ok());
         let path = request.target.split('?').next().unwrap_or_default();
         let method = request.method.as_str();
-        let route = in_force.table.find(host.unwrap_or_default(), method, path);
+        let route = in_force.table.find(host(request), method, path);
         let route = route
             .ok_or_else(|| Refusal::not_run(Reason::NoRoute))?
             .clone();
@@ -312,7 +314,13 @@
     }
 
     /// The system's own answer to a request that no target answered.
-    fn refuse(&self, refusal: &Refusal, request_id: &str, took: Duration) -> Response {
+    fn refuse(
+        &self,
+        refusal: &Refusal,
+        request: &Request,
+        request_id: &str,
+        took: Duration,
+    ) -> Response {
         let status = refusal.status();
         let verdict = refusal.verdict.to_string();
         let reason = refusal.reason.to_string();
@@ -322,6 +330,8 @@
         log::info!(
             event = "refused",
             request_id = request_id,
+            host = host(request),
+            path = request.target.get(..MAX_LOGGED_PATH).unwrap_or(&request.target),
             status = status.as_u16(),
             version = self.in_force.load().as_ref().map_or(0, |known| known.version.0),
             nodes = self.directory.len(),
@@ -401,6 +411,11 @@
     }
 }
 
+fn host(request: &Request) -> &str {
+    let host = request.headers.get("host").and_then(|h| h.to_str().ok());
+    host.unwrap_or_default()
+}
+
 fn worse(one: Refusal, two: Refusal) -> Refusal {
     if one.verdict == Verdict::MayHaveRun {
         one
--- a/src/target/gate.rs
+++ b/src/target/gate.rs
@@ -3,6 +3,7 @@
 //! Within a rank, requests that can still be answered within their objective go first: in an
 //! overload the slots would otherwise be spent on requests that are all a little too late.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -14,6 +15,9 @@
 /// Requests that wait at most; bounds memory, the wait is bounded by the callers' patience.
 const MAX_QUEUED: usize = 512;
 
+/// Expected waits that a request which can no longer be in time must have left: others pass it.
+const LATE_WAIT_FACTOR: f64 = 2.0;
+
 /// Order in the queue: rank, then the objective that ends first, then arrival.
 type Place = (u32, Instant, u64);
 
@@ -136,7 +140,22 @@
             (place, turn)
         };
         let _leave = Leave { gate: self, place };
-        match tokio::time::timeout(ask.patience, turn).await {
+        let mut turn = turn;
+        let end = Instant::now() + ask.patience;
+        let timely_until = ask
+            .objective
+            .checked_sub(ask.expected)
+            .unwrap_or(end)
+            .min(end);
+        if let Ok(turn) = tokio::time::timeout_at(timely_until.into(), &mut turn).await {
+            return turn.unwrap_or_else(|_| Err(overloaded(ask.run)));
+        }
+        // From here on every request that can still be in time goes first.
+        let wait = self.lock().wait(&place, timely_until, ask.run);
+        if wait.mul_f64(LATE_WAIT_FACTOR) > end.saturating_duration_since(Instant::now()) {
+            return Err(overloaded(wait));
+        }
+        match tokio::time::timeout_at(end.into(), turn).await {
             Ok(Ok(turn)) => turn,
             _ => Err(overloaded(ask.run)),
         }
@@ -197,16 +216,21 @@
         self.queue.remove(&next)
     }
 
-    /// Expected wait at a place in the queue. Requests of the same rank that cannot meet their
-    /// objectives let one pass that can.
+    /// Expected wait at a place in the queue. Within a rank, those that can still be in time pass
+    /// those that cannot.
     fn wait(&self, place: &Place, latest_start: Instant, run: Duration) -> Duration {
         let now = Instant::now();
-        let timely = latest_start >= now;
-        let ahead = self
-            .queue
-            .range(..place)
-            .filter(|(other, waiting)| !timely || other.0 < place.0 || waiting.latest_start >= now);
-        let ahead = ahead.count();
+        let timely = latest_start > now;
+        let goes_first = |(other, waiting): &(&Place, &Waiting)| {
+            let other_timely = waiting.latest_start > now;
+            match other.0.cmp(&place.0) {
+                Ordering::Less => true,
+                Ordering::Greater => false,
+                Ordering::Equal if timely == other_timely => *other < place,
+                Ordering::Equal => other_timely,
+            }
+        };
+        let ahead = self.queue.iter().filter(goes_first).count();
         let turns = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
         run * turns / self.slots.max(1)
     }
--- a/src/target/tests/gate.rs
+++ b/src/target/tests/gate.rs
@@ -137,6 +137,33 @@
     assert_eq!(waiting.await.unwrap().reason, Reason::NoTarget);
 }
 
+#[tokio::test]
+async fn one_that_cannot_be_in_time_any_more_is_given_up_before_its_patience_ends() {
+    let gate = open(1);
+    let _running = admit(&gate).await;
+    let mut waiting = Vec::new();
+    for _ in 0..3 {
+        let gate = gate.clone();
+        let patient = ask(0, Duration::from_millis(900), PATIENT);
+        waiting.push(tokio::spawn(
+            async move { gate.admit(patient).await.is_ok() },
+        ));
+        tokio::task::yield_now().await;
+    }
+    let began = Instant::now();
+    let late = ask(0, Duration::from_millis(150), Duration::from_millis(700));
+    let refusal = gate.admit(late).await.err().unwrap();
+    assert_eq!(refusal.reason, Reason::Overloaded);
+    assert!(
+        began.elapsed() < Duration::from_millis(400),
+        "{:?}",
+        began.elapsed()
+    );
+    for task in waiting {
+        task.abort();
+    }
+}
+
 #[tokio::test]
 async fn a_wait_beyond_the_askers_patience_is_refused_at_once() {
     let gate = open(1);
