Read the nodes' entries at most once a second

Change: a pause of 1 s after entries; neighbours are told directly, and a node that leaves refuses by itself.

--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -15,19 +15,27 @@
 
 /// Table of the nodes' entries.
 pub(crate) const NODES: &str = "nodes";
-/// How long the watcher waits for changes before it asks again. A store that has gone silent is
-/// noticed after it, so it is short for versions, which have to be in force soon.
+/// How the watcher asks for the changes of a table.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Wait(Duration);
+pub(super) struct Pace {
+    /// How long one question waits for changes. A store that has gone silent is noticed after it.
+    wait: Duration,
+    /// Pause after changes, so that a quick series is read as one.
+    pause: Duration,
+}
 
-/// For the operators' versions.
-pub(super) const VERSION_WAIT: Wait = Wait(Duration::from_millis(700));
-/// For the nodes' entries: a node that leaves refuses work by itself.
-pub(super) const ENTRY_WAIT: Wait = Wait(Duration::from_secs(5));
+/// For the operators' versions, which have to be in force soon.
+pub(super) const VERSIONS: Pace = Pace {
+    wait: Duration::from_millis(700),
+    pause: Duration::from_millis(150),
+};
+/// For the nodes' entries: a node that leaves refuses work by itself, and neighbours are told.
+pub(super) const ENTRIES: Pace = Pace {
+    wait: Duration::from_secs(5),
+    pause: Duration::from_secs(1),
+};
 /// How often a node looks whether it has become the watcher.
 const ROLE_PERIOD: Duration = Duration::from_millis(100);
-/// Pause after changes, so that a quick series is read as one.
-const BATCH_PAUSE: Duration = Duration::from_millis(150);
 /// Pauses after failures, doubled each time up to the last.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(800));
 /// How often other nodes are asked while the store is away or some node has a higher version.
@@ -40,7 +48,7 @@
 pub(super) async fn follow(
     feed: Arc<dyn Feed>,
     table: &'static str,
-    wait: Wait,
+    pace: Pace,
     hub: Arc<Hub>,
     take: impl Fn(&Hub, &[Change]) + Send + Sync,
     mut stopped: watch::Receiver<()>,
@@ -55,7 +63,7 @@
                 _ = stopped.changed() => return,
             }
         }
-        let step = step(feed.as_ref(), table, wait, &hub, &take, position);
+        let step = step(feed.as_ref(), table, pace, &hub, &take, position);
         let step = tokio::select! {
             step = step => step,
             _ = stopped.changed() => return,
@@ -65,7 +73,7 @@
                 note_store(&hub, None);
                 position = next;
                 pause = RETRY_PAUSE.0;
-                tokio::time::sleep(BATCH_PAUSE).await;
+                tokio::time::sleep(pace.pause).await;
             }
             Err(error) => {
                 note_store(&hub, Some(&error));
@@ -80,7 +88,7 @@
 async fn step(
     feed: &dyn Feed,
     table: &str,
-    wait: Wait,
+    pace: Pace,
     hub: &Hub,
     take: &impl Fn(&Hub, &[Change]),
     position: Option<u64>,
@@ -91,7 +99,7 @@
         take(hub, &rows);
         return Ok(Some(snapshot.position));
     };
-    match feed.changes(table, position, wait.0).await? {
+    match feed.changes(table, position, pace.wait).await? {
         Changes::Next { changes, position } => {
             take(hub, &changes);
             Ok(Some(position))
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -164,7 +164,7 @@
         tokio::spawn(follow::follow(
             feed.clone(),
             version_table,
-            follow::VERSION_WAIT,
+            follow::VERSIONS,
             hub.clone(),
             take_version,
             stopped.clone(),
@@ -172,7 +172,7 @@
         tokio::spawn(follow::follow(
             feed,
             follow::NODES,
-            follow::ENTRY_WAIT,
+            follow::ENTRIES,
             hub.clone(),
             follow::take_entries,
             stopped.clone(),
