--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -1,69 +1,20 @@
 //! Which entries are believed, and which target is chosen.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_trait::async_trait;
-
 use crate::directory::{Directory, Place};
-use crate::h1::Response;
-use crate::link::{Entry, Hello, Load, News, Offer, Packed, Service, Status, Target, Wanted};
+use crate::link::{Entry, Load};
 use crate::roster::Presence;
-use crate::verdict::{Reason, Refusal};
+use crate::testing::{self, Nobody};
 
 const USUAL: Duration = Duration::from_millis(100);
 const OBJECTIVE: Duration = Duration::from_millis(800);
 
-struct Nobody;
-
-#[async_trait]
-impl Service for Nobody {
-    fn hello(&self) -> Hello {
-        Hello {
-            entry: entry("own", "bkk", "bkk-a", 1, 0),
-            status: Status::default(),
-        }
-    }
-
-    async fn run(&self, _: Offer) -> Result<Response, Refusal> {
-        Err(Refusal::not_run(Reason::NoTarget))
-    }
-
-    fn heard(&self, _: &str, _: Status) -> Wanted {
-        Wanted::default()
-    }
-
-    fn learn(&self, _: News) {}
-
-    fn roster(&self) -> News {
-        News::default()
-    }
-
-    fn version_above(&self, _: u64) -> Option<Packed> {
-        None
-    }
-
-    fn learn_version(&self, _: &Packed) {}
-}
-
 fn entry(node: &str, region: &str, center: &str, incarnation: u64, revision: u64) -> Entry {
     Entry {
-        node: node.into(),
-        incarnation,
         revision,
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
-        region: region.into(),
-        data_center: center.into(),
-        presence: Presence::Serving,
-        target: Some(Target {
-            id: format!("t-{node}"),
-            started_ms: 1,
-            sequence: 1,
-            service: "booking".into(),
-            slots: 10,
-            cold_ms: 0,
-        }),
+        ..testing::entry(node, region, center, incarnation)
     }
 }
 
--- a/src/forward/tests/forwarder.rs
+++ b/src/forward/tests/forwarder.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_trait::async_trait;
 use hyper::Method;
 use tokio::sync::mpsc;
 
@@ -12,13 +11,12 @@
 use crate::forward::{Forwarder, Limits};
 use crate::h1::Response;
 use crate::ingress::Handler;
-use crate::link::{Entry, Hello, News, Offer, Packed, Service, Status, Target, Wanted};
+use crate::link::Entry;
 use crate::platform;
-use crate::roster::{Presence, Suspicions};
+use crate::roster::Suspicions;
 use crate::target::Side;
 use crate::telemetry::{Counters, Histograms};
-use crate::testing::{Act, FAILURE, GOOD, Scripted, request};
-use crate::verdict::Refusal;
+use crate::testing::{self, Act, FAILURE, GOOD, Nobody, Scripted, request};
 use crate::version::Versions;
 
 const CONFIG: &str = r#"{"Version":1,"Resources":[
@@ -33,57 +31,11 @@
      "Prefix":"/once/longer/","Type":"safe","TimeoutS":0.6,"GoalS":0.3,"Priority":1,"Attempts":1,
      "Service":"booking"}}]}"#;
 
-/// The nodes of this mesh: this one only.
-struct Alone(Arc<Side>);
-
-#[async_trait]
-impl Service for Alone {
-    fn hello(&self) -> Hello {
-        Hello {
-            entry: own_entry(),
-            status: Status::default(),
-        }
-    }
-
-    async fn run(&self, offer: Offer) -> Result<Response, Refusal> {
-        self.0.run(offer).await
-    }
-
-    fn heard(&self, _: &str, _: Status) -> Wanted {
-        Wanted::default()
-    }
-
-    fn learn(&self, _: News) {}
-
-    fn roster(&self) -> News {
-        News::default()
-    }
-
-    fn version_above(&self, _: u64) -> Option<Packed> {
-        None
-    }
-
-    fn learn_version(&self, _: &Packed) {}
-}
-
 fn own_entry() -> Entry {
-    Entry {
-        node: "own".into(),
-        incarnation: 1,
-        revision: 1,
-        address: ([127, 0, 0, 1], 1).into(),
-        region: "bkk".into(),
-        data_center: "bkk-a".into(),
-        presence: Presence::Serving,
-        target: Some(Target {
-            id: "t1".into(),
-            started_ms: 1,
-            sequence: 1,
-            service: "booking".into(),
-            slots: 1,
-            cold_ms: 0,
-        }),
-    }
+    let mut entry = testing::entry("own", "bkk", "bkk-a", 1);
+    let target = entry.target.as_mut().unwrap();
+    target.slots = 1;
+    entry
 }
 
 struct Bench {
@@ -112,7 +64,7 @@
         region: "bkk".into(),
         data_center: "bkk-a".into(),
     }));
-    directory.connect(Arc::new(Alone(side.clone())));
+    directory.connect(Arc::new(Nobody));
     directory.learn(vec![own_entry()]);
     let versions = Versions::new(dialect.clone());
     versions.take(CONFIG.as_bytes(), "test");
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -4,14 +4,15 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 
-use crate::http::{Body, Held, Release};
+use crate::http::{Body, Held, Release, read_whole};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -100,6 +101,28 @@
         }
     }
 
+    /// Sends a request and reads the whole response, at most `limit` bytes, within `timeout`. A
+    /// connection without answer may be silent for good, and others with it, so all idle ones are
+    /// dropped then.
+    pub(crate) async fn exchange(
+        &self,
+        request: Request<Body>,
+        timeout: Duration,
+        limit: usize,
+    ) -> Result<(StatusCode, Bytes), String> {
+        let exchange = async {
+            let response = self.send(request).await.map_err(|e| e.to_string())?;
+            let (head, body) = response.into_parts();
+            let bytes = read_whole(body, limit).await?;
+            Ok((head.status, bytes))
+        };
+        if let Ok(answer) = tokio::time::timeout(timeout, exchange).await {
+            return answer;
+        }
+        self.purge();
+        Err("no answer in time".into())
+    }
+
     /// Opens connections until `count` are idle; one at a time, so that it is never a storm.
     pub(crate) async fn warm(&self, count: usize) -> Result<(), SendError> {
         while self.lock().len() < count.min(MAX_IDLE) {
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use hyper::{Method, StatusCode};
+use hyper::StatusCode;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -16,7 +16,7 @@
     Entry, Hello, Link, News, Offer, Packed, Reply, Service, Status, Wanted, listen,
 };
 use crate::roster::Presence;
-use crate::testing::{request, until};
+use crate::testing::{self, until};
 use crate::verdict::{Reason, Refusal, Verdict};
 
 /// A node whose target takes `delay` for each request.
@@ -167,23 +167,7 @@
 }
 
 fn offer(idempotent: bool) -> Offer {
-    let left = Duration::from_secs(5);
-    Offer {
-        ticket: rand::random(),
-        service: "s".into(),
-        route: "r".into(),
-        request_id: "1".into(),
-        caller_service: "c".into(),
-        message: (&request(Method::GET, "/", "1")).into(),
-        idempotent,
-        repeated: false,
-        rank: 0,
-        patience: left,
-        objective: left,
-        left,
-        expected: left,
-        fingerprint: 0,
-    }
+    testing::offer(idempotent, Duration::from_secs(5))
 }
 
 fn caller() -> Arc<Node> {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -13,7 +13,7 @@
 use hyper::{Method, Request, StatusCode};
 
 use crate::error::{Error, Result};
-use crate::http::{Body, Pool, full, read_whole};
+use crate::http::{Body, Pool, full};
 use crate::platform::wire::{Answer, Commit, Row};
 use crate::store::{self, Change, Changes, Feed, Snapshot, Table, Transaction};
 
@@ -53,21 +53,8 @@
             .header("content-type", "application/json")
             .body(full(body))
             .map_err(|error| Error::Unavailable(error.to_string()))?;
-        let exchange = async {
-            let response = self.pool.send(request).await.map_err(|e| e.to_string())?;
-            let (head, body) = response.into_parts();
-            let bytes = read_whole(body, MAX_ANSWER_BYTES).await?;
-            Ok::<_, String>((head.status, bytes))
-        };
-        match tokio::time::timeout(timeout, exchange).await {
-            Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(error)) => Err(Error::Unavailable(error)),
-            Err(_) => {
-                // A connection without answer may be silent for good, and others with it.
-                self.pool.purge();
-                Err(Error::Unavailable("no answer in time".into()))
-            }
-        }
+        let answer = self.pool.exchange(request, timeout, MAX_ANSWER_BYTES).await;
+        answer.map_err(Error::Unavailable)
     }
 
     async fn rows(&self, table: &str, query: &str) -> Result<Answer> {
--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -11,49 +11,14 @@
 use crate::h1::Response;
 use crate::link::{Entry, Hello, News, Offer, Packed, Service, Status, Target, Wanted};
 use crate::roster::{Crash, Presence, Suspicions};
+use crate::sidecar::behind::Behind;
 use crate::sidecar::watcher::{self, Neighbours};
 use crate::target::Side;
 use crate::verdict::Refusal;
 use crate::version::Versions;
 
-/// Time for the store's feed to bring a version that another node already has, before that node is
-/// asked for it: about twice what the feed usually takes.
-const FEED_PATIENCE: Duration = Duration::from_millis(700);
 /// Time for which the watcher's entries may differ from this node's: news is on its way.
 const ROSTER_PATIENCE: Duration = Duration::from_millis(700);
-/// Pause between questions for a version, so that not every message of a newer peer asks.
-const ASK_PAUSE: Duration = Duration::from_millis(300);
-
-/// Versions that other nodes have and this one lacks.
-#[derive(Default)]
-struct Behind {
-    /// Highest version that any node was heard to have.
-    highest: u64,
-    /// Since when this node lacks one.
-    since: Option<Instant>,
-    asked: Option<Instant>,
-}
-
-impl Behind {
-    /// Takes the version of another node; returns whether to ask that node for it. The store's feed
-    /// and the watcher come first, unless `eager`.
-    fn hear(&mut self, version: u64, own: u64, eager: bool) -> bool {
-        self.highest = self.highest.max(version);
-        if own >= self.highest {
-            self.since = None;
-        }
-        if version <= own {
-            return false;
-        }
-        let since = *self.since.get_or_insert_with(Instant::now);
-        let lately = self.asked.is_some_and(|at| at.elapsed() < ASK_PAUSE);
-        if lately || !eager && since.elapsed() < FEED_PATIENCE {
-            return false;
-        }
-        self.asked = Some(Instant::now());
-        true
-    }
-}
 
 /// The node among other nodes.
 pub(crate) struct Hub {
@@ -318,7 +283,7 @@
 
     /// Whether some node has a higher version than this one.
     pub(crate) fn is_behind(&self) -> bool {
-        lock(&self.behind).highest > self.versions.number()
+        lock(&self.behind).highest() > self.versions.number()
     }
 }
 
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -4,6 +4,7 @@
 //! version as the platform holds it and needs no registrars, leases or claims.
 
 mod admin;
+mod behind;
 mod follow;
 mod heartbeat;
 mod hub;
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -11,7 +11,7 @@
 use hyper::{Method, Request, StatusCode};
 
 use crate::error::{Error, Result};
-use crate::http::{Body, Pool, full, read_whole};
+use crate::http::{Body, Pool, full};
 use crate::store::{Objects, Platform, Row, Rows, Table, Transaction};
 
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
@@ -42,17 +42,11 @@
             .header("host", "platform")
             .body(full(body))
             .map_err(|error| Error::Unavailable(error.to_string()))?;
-        let exchange = async {
-            let response = self.pool.send(request).await.map_err(|e| e.to_string())?;
-            let (head, body) = response.into_parts();
-            let bytes = read_whole(body, MAX_ANSWER_BYTES).await?;
-            Ok::<_, String>((head.status, bytes))
-        };
-        match tokio::time::timeout(REQUEST_TIMEOUT, exchange).await {
-            Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(error)) => Err(Error::Unavailable(error)),
-            Err(_) => Err(Error::Unavailable("no answer in time".into())),
-        }
+        let answer = self
+            .pool
+            .exchange(request, REQUEST_TIMEOUT, MAX_ANSWER_BYTES)
+            .await;
+        answer.map_err(Error::Unavailable)
     }
 
     async fn read(&self, path: &str) -> Result<Option<Bytes>> {
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -6,6 +6,7 @@
 
 mod connection;
 mod gate;
+mod guard;
 mod identity;
 mod meter;
 mod side;
--- a/src/target/side.rs
+++ b/src/target/side.rs
@@ -1,11 +1,11 @@
 //! The target side of a node: runs requests at the target beside it.
 
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use hyper::header::HeaderMap;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
 use crate::dialect::{Dialect, Heartbeat, Phase};
 use crate::h1::{Request, Response};
@@ -13,6 +13,7 @@
 use crate::roster::{Crash, Presence, Suspicions};
 use crate::target::connection::{Connections, Lost};
 use crate::target::gate::{Ask, Gate, Permit};
+use crate::target::guard::{Present, Run};
 use crate::target::identity::{Identity, Taken};
 use crate::target::meter::Meter;
 use crate::verdict::{Reason, Refusal};
@@ -30,14 +31,12 @@
     dialect: Arc<dyn Dialect>,
     identity: Mutex<Identity>,
     gate: Arc<Gate>,
-    meter: Mutex<Meter>,
+    meter: Arc<Mutex<Meter>>,
     connections: Connections,
     suspicions: Arc<Suspicions>,
     down_until: Mutex<Option<Instant>>,
     leaving: AtomicBool,
-    running: AtomicU32,
-    repeated: AtomicU32,
-    idle: Notify,
+    present: Arc<Present>,
     lost: Mutex<Vec<u64>>,
     crashes: AtomicU64,
     presence: watch::Sender<(Presence, Option<Target>)>,
@@ -57,14 +56,12 @@
             dialect,
             identity: Mutex::default(),
             gate: Gate::new(),
-            meter: Mutex::default(),
+            meter: Arc::default(),
             connections: Connections::new(address),
             suspicions,
             down_until: Mutex::new(None),
             leaving: AtomicBool::new(false),
-            running: AtomicU32::new(0),
-            repeated: AtomicU32::new(0),
-            idle: Notify::new(),
+            present: Arc::default(),
             lost: Mutex::default(),
             crashes: AtomicU64::new(0),
             presence: watch::channel((Presence::Down, None)).0,
@@ -199,27 +196,19 @@
     /// Share of repeats among the requests at the target: the likelihood that a request which the
     /// target makes belongs to a repeat.
     pub(crate) fn repeated_share(&self) -> f64 {
-        let running = self.running.load(Ordering::Relaxed);
-        let repeated = self.repeated.load(Ordering::Relaxed);
-        f64::from(repeated) / f64::from(running.max(1))
+        self.present.repeated_share()
     }
 
     /// Waits until no request is at the target or waits for it.
     pub(crate) async fn idle(&self) {
-        loop {
-            let notified = self.idle.notified();
-            if self.running.load(Ordering::Relaxed) == 0 {
-                return;
-            }
-            notified.await;
-        }
+        self.present.none().await;
     }
 
     /// Runs a request at the target. Dropping the future cancels it, unless it must not be
     /// repeated and has begun.
     pub(crate) async fn run(self: &Arc<Self>, offer: Offer) -> Result<Response, Refusal> {
         let began = Instant::now();
-        let _running = Running::new(self.clone(), offer.repeated);
+        let _present = self.present.enter(offer.repeated);
         if self.suspicions.refuses(offer.fingerprint) {
             return Err(Refusal::not_run(Reason::Suspected));
         }
@@ -246,7 +235,7 @@
         }
         let side = self.clone();
         let sending = tokio::spawn(async move {
-            let _running = Running::new(side.clone(), false);
+            let _present = side.present.enter(false);
             side.send(offer, &id, left, permit).await
         });
         let lost = Refusal::may_have_run(Reason::ConnectionLost);
@@ -288,7 +277,7 @@
             Request::try_from(offer.message).map_err(|_| Refusal::not_run(Reason::BadRequest))?;
         self.dialect
             .address(&mut request, id, &offer.caller_service, left);
-        let run = Run::new(self.clone(), offer.expected);
+        let run = Run::new(&self.meter, offer.expected);
         let is_own = |headers: &HeaderMap, fresh: bool| match self.dialect.request_id(headers) {
             Some(answered) => answered == offer.request_id,
             None => fresh,
@@ -410,55 +399,6 @@
     }
 }
 
-/// Counts a request from its arrival to its end.
-struct Running {
-    side: Arc<Side>,
-    repeated: bool,
-}
-
-impl Running {
-    fn new(side: Arc<Side>, repeated: bool) -> Self {
-        side.running.fetch_add(1, Ordering::Relaxed);
-        side.repeated
-            .fetch_add(u32::from(repeated), Ordering::Relaxed);
-        Self { side, repeated }
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.side
-            .repeated
-            .fetch_sub(u32::from(self.repeated), Ordering::Relaxed);
-        if self.side.running.fetch_sub(1, Ordering::Relaxed) == 1 {
-            self.side.idle.notify_waiters();
-        }
-    }
-}
-
-/// One run at the target, which counts as cancelled unless it is ended.
-struct Run {
-    side: Arc<Side>,
-    number: u64,
-}
-
-impl Run {
-    fn new(side: Arc<Side>, expected: Duration) -> Self {
-        let number = lock(&side.meter).begin(expected);
-        Self { side, number }
-    }
-
-    fn end(self, failed: Option<bool>) {
-        lock(&self.side.meter).end(self.number, failed);
-    }
-}
-
-impl Drop for Run {
-    fn drop(&mut self) {
-        lock(&self.side.meter).end(self.number, None);
-    }
-}
-
 #[allow(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/src/target/tests/side.rs
+++ b/src/target/tests/side.rs
@@ -3,16 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::Method;
 use tokio::sync::mpsc;
 
 use crate::dialect::{Heartbeat, Phase};
 use crate::h1::Response;
-use crate::link::Offer;
 use crate::platform;
 use crate::roster::{Crash, Presence, Suspicions};
 use crate::target::Side;
-use crate::testing::{Act, FAILURE, GOOD, Scripted, request, until};
+use crate::testing::{Act, FAILURE, GOOD, Scripted, offer, until};
 use crate::verdict::{Reason, Refusal, Verdict};
 
 const TRUNCATED: &str = "HTTP/1.1 200 OK\r\nbluebellgap-request-id: {id}\r\n\
@@ -69,29 +67,8 @@
     }
 }
 
-fn offer(idempotent: bool, left: Duration) -> Offer {
-    Offer {
-        ticket: rand::random(),
-        service: "booking".into(),
-        route: "r".into(),
-        request_id: format!("{:x}", rand::random::<u64>()),
-        caller_service: "servicing".into(),
-        message: (&request(Method::GET, "/a", "set below")).into(),
-        idempotent,
-        repeated: false,
-        rank: 0,
-        patience: left,
-        objective: left,
-        left,
-        expected: Duration::from_millis(50),
-        fingerprint: 7,
-    }
-}
-
 async fn run(side: &Arc<Side>, idempotent: bool) -> Result<Response, Refusal> {
-    let mut offer = offer(idempotent, Duration::from_secs(2));
-    offer.message = (&request(Method::GET, "/a", &offer.request_id)).into();
-    side.run(offer).await
+    side.run(offer(idempotent, Duration::from_secs(2))).await
 }
 
 /// Status of the answer, or reason and verdict of the refusal.
@@ -173,8 +150,7 @@
 #[tokio::test]
 async fn an_answer_to_another_request_alone_never_becomes_this_ones() {
     let bench = bench(&[Act::Answer(FOREIGN)]).await;
-    let mut offer = offer(true, Duration::from_millis(200));
-    offer.message = (&request(Method::GET, "/a", &offer.request_id)).into();
+    let offer = offer(true, Duration::from_millis(200));
     let refusal = bench.side.run(offer).await.unwrap_err();
     assert_eq!(refusal.reason, Reason::Deadline);
 }
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -5,12 +5,16 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+use async_trait::async_trait;
 use hyper::Method;
 use hyper::header::HeaderMap;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::h1::{Request, Stream};
+use crate::h1::{Request, Response, Stream};
+use crate::link::{Entry, Hello, News, Offer, Packed, Service, Status, Target, Wanted};
+use crate::roster::Presence;
+use crate::verdict::{Reason, Refusal};
 
 /// What a scripted target does with a request.
 #[derive(Clone, Debug)]
@@ -134,6 +138,81 @@
     }
 }
 
+/// An offer of a request for `booking` that has `left` time.
+pub(crate) fn offer(idempotent: bool, left: Duration) -> Offer {
+    let request_id = format!("{:x}", rand::random::<u64>());
+    Offer {
+        ticket: rand::random(),
+        service: "booking".into(),
+        route: "r".into(),
+        caller_service: "servicing".into(),
+        message: (&request(Method::GET, "/a", &request_id)).into(),
+        request_id,
+        idempotent,
+        repeated: false,
+        rank: 0,
+        patience: left,
+        objective: left,
+        left,
+        expected: Duration::from_millis(50),
+        fingerprint: 7,
+    }
+}
+
+/// The entry of a node whose target serves `booking`.
+pub(crate) fn entry(node: &str, region: &str, center: &str, incarnation: u64) -> Entry {
+    Entry {
+        node: node.into(),
+        incarnation,
+        revision: 0,
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        region: region.into(),
+        data_center: center.into(),
+        presence: Presence::Serving,
+        target: Some(Target {
+            id: format!("t-{node}"),
+            started_ms: 1,
+            sequence: 1,
+            service: "booking".into(),
+            slots: 10,
+            cold_ms: 0,
+        }),
+    }
+}
+
+/// A node that runs nothing and learns nothing.
+pub(crate) struct Nobody;
+
+#[async_trait]
+impl Service for Nobody {
+    fn hello(&self) -> Hello {
+        Hello {
+            entry: entry("own", "bkk", "bkk-a", 1),
+            status: Status::default(),
+        }
+    }
+
+    async fn run(&self, _: Offer) -> Result<Response, Refusal> {
+        Err(Refusal::not_run(Reason::NoTarget))
+    }
+
+    fn heard(&self, _: &str, _: Status) -> Wanted {
+        Wanted::default()
+    }
+
+    fn learn(&self, _: News) {}
+
+    fn roster(&self) -> News {
+        News::default()
+    }
+
+    fn version_above(&self, _: u64) -> Option<Packed> {
+        None
+    }
+
+    fn learn_version(&self, _: &Packed) {}
+}
+
 /// Waits until `holds`, at most some seconds.
 pub(crate) async fn until(what: &str, holds: impl Fn() -> bool) {
     for _ in 0..500 {
