Usual terms in names and comments; a revoked offer that still arrives is refused

The revocation of offers could be removed with all tests green; the new test a_revoked_offer_is_refused_when_it_still_arrives fails without it.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -38,7 +38,7 @@
     pub cold: Duration,
 }
 
-/// What a target says of itself.
+/// A message of a target about itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Notice {
     /// It lives.
@@ -54,13 +54,13 @@
 
 /// Reads and marks messages in the platform's manner. Decides nothing.
 pub(crate) trait Dialect: Send + Sync + 'static {
-    /// Reads what a target says of itself; the text says what is wrong with it.
+    /// Reads a message of a target; the error text names the fault.
     fn notice(&self, method: &Method, path: &str, body: &[u8]) -> Result<Notice, String>;
 
     /// Body that acknowledges a notice.
     fn acknowledgement(&self) -> &'static str;
 
-    /// Reads a whole version; the text says what is wrong with it.
+    /// Reads a whole version; the error text names the fault.
     fn version(&self, bytes: &[u8]) -> Result<(Version, Bundle), String>;
 
     /// Key of the row that holds the newest version.
@@ -69,13 +69,13 @@
     /// Sets what the target is told: who is meant, who called, and how long the caller waits.
     fn address(&self, request: &mut Request, id: &str, caller_service: &str, left: Duration);
 
-    /// Identity of the request that a message belongs to, if it says.
+    /// Identity of the request that a message belongs to, if it bears one.
     fn request_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
 
-    /// Time that the caller waits, if it says.
-    fn patience(&self, headers: &HeaderMap) -> Option<Duration>;
+    /// Time that the caller waits, if the request bears one.
+    fn timeout(&self, headers: &HeaderMap) -> Option<Duration>;
 
-    /// Whether the target says that it did not run the request.
+    /// Whether the response states that the target did not run the request.
     fn is_rejection(&self, response: &Response) -> bool;
 
     /// Whether an answer bears the marks of a target and can be passed on.
--- a/src/directory/book.rs
+++ b/src/directory/book.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 
 use crate::directory::endpoint::{Endpoint, Record};
-use crate::link::{Entry, Link, News, Service};
+use crate::link::{Entry, Link, Service, Update};
 use crate::roster::Presence;
 
 /// Time for which the end of a node is remembered, so that a late message cannot bring it back.
@@ -214,15 +214,15 @@
         near.filter_map(|e| e.link.clone()).collect()
     }
 
-    /// Sends news to the other nodes of this data centre, or to all.
-    pub(crate) fn broadcast(&self, news: &News, everywhere: bool) {
+    /// Sends update to the other nodes of this data centre, or to all.
+    pub(crate) fn broadcast(&self, update: &Update, everywhere: bool) {
         let links = if everywhere {
             self.links()
         } else {
             self.near_links()
         };
         for link in links {
-            link.tell(news.clone());
+            link.notify(update.clone());
         }
     }
 
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -6,7 +6,7 @@
 use crate::directory::{Directory, Place};
 use crate::link::{Entry, Load};
 use crate::roster::Presence;
-use crate::testing::{self, Nobody};
+use crate::testing::{self, NullService};
 
 const USUAL: Duration = Duration::from_millis(100);
 const OBJECTIVE: Duration = Duration::from_millis(800);
@@ -24,7 +24,7 @@
         region: "bkk".into(),
         data_center: "bkk-a".into(),
     });
-    directory.connect(Arc::new(Nobody));
+    directory.connect(Arc::new(NullService));
     directory
 }
 
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -26,10 +26,10 @@
     side: &Arc<Side>,
     call: &Call,
     endpoint: &Endpoint,
-    patience: Duration,
+    max_wait: Duration,
     repeated: bool,
 ) -> Outcome {
-    let offer = call.offer(patience, repeated);
+    let offer = call.offer(max_wait, repeated);
     let in_flight = endpoint.begin();
     let began = Instant::now();
     let limit = offer.left + REPLY_GRACE;
--- a/src/forward/call.rs
+++ b/src/forward/call.rs
@@ -21,7 +21,7 @@
     pub version: u64,
     /// When the request arrived.
     pub began: Instant,
-    /// When the route's time-out or the caller's patience ends, whichever is first.
+    /// When the route's time-out or the caller's deadline ends, whichever is first.
     pub deadline: Instant,
     /// Usual run time of the route's requests.
     pub usual: Duration,
@@ -37,18 +37,18 @@
         version: u64,
         request: &Request,
         request_id: &str,
-        patience: Option<Duration>,
+        max_wait: Option<Duration>,
         caller_service: &str,
         usual: Duration,
     ) -> Self {
         let began = Instant::now();
-        let patience = patience.unwrap_or(route.timeout).min(route.timeout);
+        let max_wait = max_wait.unwrap_or(route.timeout).min(route.timeout);
         Self {
             service: route.next_service().to_owned(),
             request_id: request_id.to_owned(),
             version,
             began,
-            deadline: began + patience,
+            deadline: began + max_wait,
             usual,
             fingerprint: fingerprint(request, caller_service),
             message: request.into(),
@@ -68,7 +68,7 @@
     }
 
     /// The request as it is offered to a target's node.
-    pub(super) fn offer(&self, patience: Duration, repeated: bool) -> Offer {
+    pub(super) fn offer(&self, max_wait: Duration, repeated: bool) -> Offer {
         Offer {
             ticket: rand::random(),
             service: self.service.clone(),
@@ -79,7 +79,7 @@
             idempotent: self.route.idempotent,
             repeated,
             rank: self.route.rank,
-            patience,
+            max_wait,
             objective: self.objective_left(),
             left: self.left(),
             expected: self.usual,
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -24,7 +24,7 @@
 use crate::version::InForce;
 
 /// Share of the objective for which the first targets asked may let a request wait for a slot.
-const FIRST_PATIENCE_SHARE: f64 = 0.125;
+const FIRST_WAIT_SHARE: f64 = 0.125;
 /// Refusals for load after which a request waits at the best target instead of asking more.
 const MAX_REFUSALS: usize = 2;
 /// Share of the objective after which an idempotent request is also sent to a second target.
@@ -131,7 +131,7 @@
             in_force.version.0,
             request,
             request_id,
-            self.dialect.patience(&request.headers),
+            self.dialect.timeout(&request.headers),
             caller_service.as_deref().map_or("", String::as_str),
             usual,
         );
@@ -177,8 +177,8 @@
             } else {
                 free.unwrap_or(endpoint)
             };
-            let patience = patience(call, patient);
-            let outcome = self.attempt(call, endpoint, patience, &mut progress).await;
+            let max_wait = max_wait(call, patient);
+            let outcome = self.attempt(call, endpoint, max_wait, &mut progress).await;
             let refusal = match outcome {
                 Ok(response) => return Ok(response),
                 Err(refusal) => refusal,
@@ -217,10 +217,10 @@
         &self,
         call: &Call,
         endpoint: &Arc<Endpoint>,
-        patience: Duration,
+        max_wait: Duration,
         progress: &mut Progress,
     ) -> Result<Response, Refusal> {
-        let first = attempt::run(&self.side, call, endpoint, patience, progress.reached > 0);
+        let first = attempt::run(&self.side, call, endpoint, max_wait, progress.reached > 0);
         tokio::pin!(first);
         if !call.route.idempotent {
             return self.conclude(call, first.await, progress);
@@ -353,11 +353,11 @@
 }
 
 /// How long a target may let the call wait for a slot.
-fn patience(call: &Call, patient: bool) -> Duration {
+fn max_wait(call: &Call, patient: bool) -> Duration {
     if patient {
         return call.left().saturating_sub(call.usual);
     }
-    call.route.objective.mul_f64(FIRST_PATIENCE_SHARE)
+    call.route.objective.mul_f64(FIRST_WAIT_SHARE)
 }
 
 /// Whether to wait for a target to appear.
--- a/src/forward/tests/forwarder.rs
+++ b/src/forward/tests/forwarder.rs
@@ -16,7 +16,7 @@
 use crate::roster::Suspicions;
 use crate::target::Side;
 use crate::telemetry::{Counters, Histograms};
-use crate::testing::{self, Act, FAILURE, GOOD, Nobody, Scripted, request};
+use crate::testing::{self, Act, FAILURE, GOOD, NullService, Scripted, request};
 use crate::version::Versions;
 
 const CONFIG: &str = r#"{"Version":1,"Resources":[
@@ -64,7 +64,7 @@
         region: "bkk".into(),
         data_center: "bkk-a".into(),
     }));
-    directory.connect(Arc::new(Nobody));
+    directory.connect(Arc::new(NullService));
     directory.learn(vec![own_entry()]);
     let versions = Versions::new(dialect.clone());
     versions.take(CONFIG.as_bytes(), "test");
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -131,7 +131,7 @@
     /// Rank of the route; 0 goes first.
     pub rank: u32,
     /// Longest wait for a slot.
-    pub patience: Duration,
+    pub max_wait: Duration,
     /// Time left until the latency objective.
     pub objective: Duration,
     /// Time left until the caller gives up.
@@ -215,13 +215,13 @@
     pub failing_percent: u32,
 }
 
-/// What a node says of itself with every message.
+/// State of a node that goes with every reply.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Status {
     /// Version in force, 0 before the first.
     pub version: u64,
     /// Whether the sender hears the platform's store.
-    pub hears_store: bool,
+    pub store_reachable: bool,
     /// Digest of the entries that the sender knows.
     pub roster: u64,
     /// Load of the target.
@@ -239,7 +239,7 @@
 
 /// Something that all nodes should know.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct News {
+pub(crate) struct Update {
     /// Entries that changed.
     pub entries: Vec<Entry>,
     /// Nodes that are gone for good, with their last incarnations.
@@ -289,7 +289,7 @@
     /// Sign of life.
     Pong(Status),
     /// Changes that concern all.
-    News(Box<News>),
+    Update(Box<Update>),
     /// Asks for all entries that the peer knows.
     FetchRoster,
     /// Asks for the version in force, if it is higher than the given one.
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::link::frame::{Entry, Frame, News, Offer, Packed, Reply, Ticket};
+use crate::link::frame::{Entry, Frame, Offer, Packed, Reply, Ticket, Update};
 use crate::link::server::{Service, answer_common, hear};
 use crate::link::session::{self, Receiver, Sender};
 use crate::verdict::{Reason, Refusal};
@@ -36,7 +36,7 @@
 enum Command {
     Offer(Box<Offer>, oneshot::Sender<Reply>),
     Cancel(Ticket),
-    Tell(Frame),
+    Send(Frame),
 }
 
 /// A peer, as far as requests are concerned.
@@ -121,27 +121,27 @@
         }
     }
 
-    /// Sends news, connecting where necessary.
-    pub(crate) fn tell(&self, news: News) {
+    /// Sends update, connecting where necessary.
+    pub(crate) fn notify(&self, update: Update) {
         let _ = self
             .commands
-            .send(Command::Tell(Frame::News(Box::new(news))));
+            .send(Command::Send(Frame::Update(Box::new(update))));
     }
 
     /// Sends a version.
     pub(crate) fn push(&self, packed: Packed) {
-        let _ = self.commands.send(Command::Tell(Frame::Version(packed)));
+        let _ = self.commands.send(Command::Send(Frame::Version(packed)));
     }
 
     /// Asks for the peer's status and entries.
     pub(crate) fn consult(&self) {
-        let _ = self.commands.send(Command::Tell(Frame::Ping));
-        let _ = self.commands.send(Command::Tell(Frame::FetchRoster));
+        let _ = self.commands.send(Command::Send(Frame::Ping));
+        let _ = self.commands.send(Command::Send(Frame::FetchRoster));
     }
 
     /// Asks for the peer's status.
     pub(crate) fn ping(&self) {
-        let _ = self.commands.send(Command::Tell(Frame::Ping));
+        let _ = self.commands.send(Command::Send(Frame::Ping));
     }
 
     /// Whether the peer could not be reached a moment ago.
@@ -234,11 +234,11 @@
         self.shared
             .round_trip_us
             .store(micros.max(1), Ordering::Relaxed);
-        let news = News {
+        let update = Update {
             entries: vec![hello.entry.clone()],
-            ..News::default()
+            ..Update::default()
         };
-        self.service.learn(news);
+        self.service.learn(update);
         hear(self.service.as_ref(), &hello.entry, hello.status, &sender);
         Ok(Session {
             sender,
@@ -318,8 +318,8 @@
                     session.sender.send(Frame::Cancel(ticket));
                 }
             }
-            Command::Tell(Frame::Ping) => session.ping(),
-            Command::Tell(frame) => {
+            Command::Send(Frame::Ping) => session.ping(),
+            Command::Send(frame) => {
                 session.sender.send(frame);
             }
         }
@@ -340,9 +340,9 @@
 
     /// Whether the peer owes a sign of life for too long; asks for one where it is due.
     fn is_silent(&self, session: &mut Session) -> bool {
-        let patience = PONG_TIMEOUT + session.round_trip * PONG_ROUND_TRIPS;
+        let max_wait = PONG_TIMEOUT + session.round_trip * PONG_ROUND_TRIPS;
         if let Some(pinged) = session.pinged {
-            return pinged.elapsed() > patience;
+            return pinged.elapsed() > max_wait;
         }
         if session.heard.elapsed() > PING_AFTER && !self.pending.is_empty() {
             session.ping();
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -9,7 +9,7 @@
 
 use crate::error::{Error, Result};
 use crate::h1;
-use crate::link::frame::{Entry, Frame, Hello, News, Offer, Packed, Reply, Status, Ticket};
+use crate::link::frame::{Entry, Frame, Hello, Offer, Packed, Reply, Status, Ticket, Update};
 use crate::link::jobs::Jobs;
 use crate::link::session::{self, Sender};
 use crate::verdict::{Reason, Refusal};
@@ -42,13 +42,13 @@
     async fn run(&self, offer: Offer) -> Result<h1::Response, Refusal>;
 
     /// Takes a peer's status; returns what to ask the peer for.
-    fn heard(&self, node: &str, status: Status) -> Wanted;
+    fn observe(&self, node: &str, status: Status) -> Wanted;
 
-    /// Takes news.
-    fn learn(&self, news: News);
+    /// Takes update.
+    fn learn(&self, update: Update);
 
     /// All entries that this node knows.
-    fn roster(&self) -> News;
+    fn roster(&self) -> Update;
 
     /// The version in force if it is above `version`, which the asker has.
     fn version_above(&self, version: u64) -> Option<Packed>;
@@ -69,9 +69,9 @@
             sender.send(Frame::Pong(service.hello().status));
         }
         Frame::Pong(status) => hear(service, peer, status, sender),
-        Frame::News(news) => service.learn(*news),
+        Frame::Update(update) => service.learn(*update),
         Frame::FetchRoster => {
-            sender.send(Frame::News(Box::new(service.roster())));
+            sender.send(Frame::Update(Box::new(service.roster())));
         }
         Frame::FetchVersion(known) => {
             if let Some(packed) = service.version_above(known) {
@@ -86,7 +86,7 @@
 
 /// Takes a peer's status, and asks for its version where it is newer.
 pub(super) fn hear(service: &dyn Service, peer: &Entry, status: Status, sender: &Sender) {
-    let wanted = service.heard(&peer.node, status);
+    let wanted = service.observe(&peer.node, status);
     if wanted.version {
         sender.send(Frame::FetchVersion(service.hello().status.version));
     }
@@ -132,9 +132,9 @@
     };
     sender.send(Frame::Hello(Box::new(service.hello())));
     let peer = hello.entry;
-    service.learn(News {
+    service.learn(Update {
         entries: vec![peer.clone()],
-        ..News::default()
+        ..Update::default()
     });
     hear(service.as_ref(), &peer, hello.status, &sender);
     let ended = loop {
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -12,8 +12,10 @@
 use tokio::task::JoinSet;
 
 use crate::h1::Response;
+use crate::link::frame::Frame;
+use crate::link::session;
 use crate::link::{
-    Entry, Hello, Link, News, Offer, Packed, Reply, Service, Status, Wanted, listen,
+    Entry, Hello, Link, Offer, Packed, Reply, Service, Status, Update, Wanted, listen,
 };
 use crate::roster::Presence;
 use crate::testing::{self, until};
@@ -75,17 +77,17 @@
         Ok(Response::text(StatusCode::OK, "done"))
     }
 
-    fn heard(&self, _: &str, _: Status) -> Wanted {
+    fn observe(&self, _: &str, _: Status) -> Wanted {
         Wanted::default()
     }
 
-    fn learn(&self, news: News) {
-        let names = news.entries.into_iter().map(|entry| entry.node);
+    fn learn(&self, update: Update) {
+        let names = update.entries.into_iter().map(|entry| entry.node);
         self.learned.lock().unwrap().extend(names);
     }
 
-    fn roster(&self) -> News {
-        News::default()
+    fn roster(&self) -> Update {
+        Update::default()
     }
 
     fn version_above(&self, _: u64) -> Option<Packed> {
@@ -292,6 +294,27 @@
     assert_eq!(node.begun(), 1);
 }
 
+#[tokio::test]
+async fn a_revoked_offer_is_refused_when_it_still_arrives() {
+    let node = Node::new("n", 1, Duration::ZERO);
+    let (address, _running) = serve(&node).await;
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (sender, mut receiver) = session::start(stream).unwrap();
+    let late = offer(false);
+    sender.send(Frame::Hello(Box::new(caller().hello())));
+    sender.send(Frame::Inquire(late.ticket, node.incarnation));
+    sender.send(Frame::Offer(Box::new(late)));
+    let mut refusals = 0;
+    while refusals < 2 {
+        if let Frame::Reply(_, _, reply) = receiver.next().await.unwrap() {
+            let not_run = Some((Reason::ConnectionLost, Verdict::NotRun));
+            assert_eq!(verdict(&reply), not_run);
+            refusals += 1;
+        }
+    }
+    assert_eq!(node.begun(), 0);
+}
+
 #[tokio::test]
 async fn both_sides_learn_who_the_other_is() {
     let node = Node::new("n", 1, Duration::ZERO);
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -137,7 +137,7 @@
         });
         let neighbours: Weak<dyn Neighbours> = Arc::downgrade(&core) as _;
         core.claims.connect(neighbours);
-        let membership = Arc::new(Seat(Arc::downgrade(&core)));
+        let membership = Arc::new(Handle(Arc::downgrade(&core)));
         let _ = core.proxy.set(Proxy::new(parts, membership));
         core
     }
@@ -315,12 +315,12 @@
     }
 }
 
-/// The node's place in the roster, as its request path sees it. Holds the node weakly: the request
-/// path belongs to it.
-struct Seat(Weak<Core>);
+/// Access to the node's roster entry for its request path. Weak, because the node owns the request
+/// path.
+struct Handle(Weak<Core>);
 
 #[async_trait]
-impl Membership for Seat {
+impl Membership for Handle {
     fn member(&self) -> Option<Member> {
         self.0.upgrade().map(|core| core.member())
     }
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -56,7 +56,7 @@
         headers.get(REQUEST_ID)?.to_str().ok()
     }
 
-    fn patience(&self, headers: &HeaderMap) -> Option<Duration> {
+    fn timeout(&self, headers: &HeaderMap) -> Option<Duration> {
         let text = headers.get(DEADLINE_MS)?.to_str().ok()?;
         let millis = text.trim().parse::<f64>().ok()?;
         Duration::try_from_secs_f64(millis / 1e3).ok()
--- a/src/platform/sample.rs
+++ b/src/platform/sample.rs
@@ -51,7 +51,7 @@
     (path(&beat.id), body.to_string())
 }
 
-/// Path under which a target speaks of itself.
+/// Path of a target's heartbeats.
 pub(crate) fn path(id: &str) -> String {
     format!("/instances/{id}")
 }
--- a/src/sidecar/admin.rs
+++ b/src/sidecar/admin.rs
@@ -29,7 +29,7 @@
     version: u64,
     /// Node that reads the store for this data centre.
     watcher: Option<String>,
-    hears_source: bool,
+    source_reachable: bool,
     ready: bool,
     load: Load,
     heartbeat_age_ms: Option<u128>,
@@ -72,7 +72,7 @@
             own: self.hub.own(),
             version: self.hub.versions.number(),
             watcher: self.hub.watcher(),
-            hears_source: self.hub.hears_source(),
+            source_reachable: self.hub.source_reachable(),
             ready: self.is_ready(),
             load: self.hub.status().load,
             heartbeat_age_ms: self.hub.side.heartbeat_age().map(|age| age.as_millis()),
@@ -89,7 +89,7 @@
         let gauges = [
             ("version", self.hub.versions.number()),
             ("ready", u64::from(self.is_ready())),
-            ("hears_source", u64::from(self.hub.hears_source())),
+            ("source_reachable", u64::from(self.hub.source_reachable())),
             ("is_watcher", u64::from(self.hub.is_watcher())),
             ("nodes", self.hub.directory.len() as u64),
             ("target_running", load.running.into()),
--- a/src/sidecar/behind.rs
+++ b/src/sidecar/behind.rs
@@ -4,7 +4,7 @@
 
 /// Time for the store's feed to bring a version that another node already has, before that node is
 /// asked for it: about twice what the feed usually takes.
-const FEED_PATIENCE: Duration = Duration::from_millis(700);
+const FEED_GRACE: Duration = Duration::from_millis(700);
 /// Pause between questions for a version, so that not every message of a newer peer asks.
 const ASK_PAUSE: Duration = Duration::from_millis(300);
 
@@ -36,7 +36,7 @@
         }
         let since = *self.since.get_or_insert_with(Instant::now);
         let lately = self.asked.is_some_and(|at| at.elapsed() < ASK_PAUSE);
-        if lately || !eager && since.elapsed() < FEED_PATIENCE {
+        if lately || !eager && since.elapsed() < FEED_GRACE {
             return false;
         }
         self.asked = Some(Instant::now());
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -262,7 +262,7 @@
             () = tokio::time::sleep(CONSULT_PERIOD.mul_f64(0.75 + 0.5 * rand::random::<f64>())) => {}
             _ = stopped.changed() => return,
         }
-        let away = !hub.hears_source();
+        let away = !hub.source_reachable();
         if !away && !hub.is_behind() && hub.versions.number() > 0 {
             continue;
         }
--- a/src/sidecar/heartbeat.rs
+++ b/src/sidecar/heartbeat.rs
@@ -1,4 +1,4 @@
-//! The listener for what the target says of itself.
+//! The listener for the target's heartbeats and departures.
 
 use std::sync::Arc;
 
--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -1,4 +1,4 @@
-//! What the node hears from and tells other nodes.
+//! State that a node shares with other nodes, and its handling of their messages.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -9,7 +9,7 @@
 
 use crate::directory::Directory;
 use crate::h1::Response;
-use crate::link::{Entry, Hello, News, Offer, Packed, Service, Status, Target, Wanted};
+use crate::link::{Entry, Hello, Offer, Packed, Service, Status, Target, Update, Wanted};
 use crate::roster::{Crash, Presence, Suspicions};
 use crate::sidecar::behind::Behind;
 use crate::sidecar::watcher::{self, Neighbours};
@@ -17,8 +17,8 @@
 use crate::verdict::Refusal;
 use crate::version::Versions;
 
-/// Time for which the watcher's entries may differ from this node's: news is on its way.
-const ROSTER_PATIENCE: Duration = Duration::from_millis(700);
+/// Time for which the watcher's entries may differ from this node's: update is on its way.
+const ROSTER_GRACE: Duration = Duration::from_millis(700);
 
 /// The node among other nodes.
 pub(crate) struct Hub {
@@ -67,7 +67,7 @@
         lock(&self.own).clone()
     }
 
-    /// Changes the node's own entry, and tells everybody.
+    /// Changes the node's own entry, and notifies the other nodes.
     pub(crate) fn set_presence(&self, presence: Presence, target: Option<Target>) {
         let entry = {
             let mut own = lock(&self.own);
@@ -88,28 +88,28 @@
     }
 
     fn publish(&self, entry: Entry) {
-        let news = News {
+        let update = Update {
             entries: vec![entry],
-            ..News::default()
+            ..Update::default()
         };
-        // The store's feed tells other data centres, and costs less than a message to each node.
-        self.directory.broadcast(&news, !self.hears_source());
+        // The store's feed notifies other data centres, and costs less than a message to each node.
+        self.directory.broadcast(&update, !self.source_reachable());
         self.announce.notify_one();
     }
 
     /// Takes the node's own entry as an earlier process or the store has it.
-    fn meet_own(&self, entry: &Entry) {
+    fn reconcile_own(&self, entry: &Entry) {
         if entry.incarnation < self.own().incarnation
             && let Some(target) = &entry.target
         {
             self.side.recall(target);
         }
-        self.outdo(entry);
+        self.supersede(entry);
     }
 
     /// Raises the own entry above one that claims to be newer: an earlier process of this node, whose
     /// clock was ahead.
-    fn outdo(&self, claimed: &Entry) {
+    fn supersede(&self, claimed: &Entry) {
         let entry = {
             let mut own = lock(&self.own);
             if !claimed.is_newer_than(&own) {
@@ -131,12 +131,12 @@
             .into_iter()
             .partition(|entry| entry.node == own.node);
         for entry in &mine {
-            self.meet_own(entry);
+            self.reconcile_own(entry);
         }
         self.directory.learn(others);
     }
 
-    /// Tells everybody of a crash of the target.
+    /// Notifies all nodes of a crash of the target.
     pub(crate) fn report_crash(&self, crash: Crash) {
         log::warn!(
             event = "target_crashed",
@@ -145,18 +145,18 @@
             ""
         );
         self.suspicions.note(&crash);
-        let news = News {
+        let update = Update {
             crashes: vec![crash],
-            ..News::default()
+            ..Update::default()
         };
-        self.directory.broadcast(&news, true);
+        self.directory.broadcast(&update, true);
     }
 
-    /// What the node says of itself with every message.
+    /// The node's status, which goes with every reply.
     pub(crate) fn status(&self) -> Status {
         Status {
             version: self.versions.number(),
-            hears_store: self.store_answers.load(Ordering::Relaxed),
+            store_reachable: self.store_answers.load(Ordering::Relaxed),
             roster: self.directory.digest(),
             load: self.side.load(),
         }
@@ -177,7 +177,7 @@
     }
 
     /// Whether what the store holds reaches this node, directly or through the watcher.
-    pub(crate) fn hears_source(&self) -> bool {
+    pub(crate) fn source_reachable(&self) -> bool {
         !self.is_watcher() || self.store_answers.load(Ordering::Relaxed)
     }
 
@@ -231,14 +231,14 @@
 
     /// Passes entries and the version on that the store brought to this node as the watcher.
     pub(crate) fn pass_on_entries(&self, entries: Vec<Entry>) {
-        let news = News {
+        let update = Update {
             entries,
-            ..News::default()
+            ..Update::default()
         };
-        self.directory.broadcast(&news, false);
+        self.directory.broadcast(&update, false);
     }
 
-    /// Forgets a node whose row was deleted, and tells the neighbours.
+    /// Forgets a node whose row was deleted, and notifies the neighbours.
     pub(crate) fn forget(&self, node: &str) {
         if node == self.own().node {
             // Another node took this one for lost.
@@ -250,11 +250,11 @@
         };
         let gone = vec![(node.to_owned(), known.entry.incarnation)];
         self.directory.forget(node, known.entry.incarnation);
-        let news = News {
+        let update = Update {
             gone,
-            ..News::default()
+            ..Update::default()
         };
-        self.directory.broadcast(&news, false);
+        self.directory.broadcast(&update, false);
     }
 
     /// Sends the version in force to the neighbours, against the one that they are likely to have.
@@ -274,7 +274,7 @@
             return false;
         }
         let began = *since.get_or_insert_with(Instant::now);
-        if began.elapsed() < ROSTER_PATIENCE {
+        if began.elapsed() < ROSTER_GRACE {
             return false;
         }
         *since = None;
@@ -300,14 +300,14 @@
         self.side.run(offer).await
     }
 
-    fn heard(&self, node: &str, status: Status) -> Wanted {
+    fn observe(&self, node: &str, status: Status) -> Wanted {
         if let Some(endpoint) = self.directory.find(node) {
             endpoint.note_load(status.load);
         }
         let own = self.versions.number();
-        lock(&self.neighbours).heard(node, status.hears_store);
+        lock(&self.neighbours).heard(node, status.store_reachable);
         let from_watcher = self.watcher().is_some_and(|watcher| watcher == node);
-        let eager = from_watcher || own == 0 || !self.hears_source();
+        let eager = from_watcher || own == 0 || !self.source_reachable();
         let differs = from_watcher && status.roster != self.directory.digest();
         Wanted {
             version: lock(&self.behind).hear(status.version, own, eager),
@@ -315,23 +315,23 @@
         }
     }
 
-    fn learn(&self, news: News) {
-        for crash in &news.crashes {
+    fn learn(&self, update: Update) {
+        for crash in &update.crashes {
             self.suspicions.note(crash);
         }
-        for fingerprint in &news.cleared {
+        for fingerprint in &update.cleared {
             self.suspicions.clear(*fingerprint);
         }
-        for (node, incarnation) in &news.gone {
+        for (node, incarnation) in &update.gone {
             self.directory.forget(node, *incarnation);
         }
-        self.learn_entries(news.entries);
+        self.learn_entries(update.entries);
     }
 
-    fn roster(&self) -> News {
-        News {
+    fn roster(&self) -> Update {
+        Update {
             entries: self.directory.entries(),
-            ..News::default()
+            ..Update::default()
         }
     }
 
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -1,4 +1,4 @@
-//! A node on a platform that tells it everything: versions, targets and other nodes.
+//! A node on a platform that supplies versions, and whose targets send heartbeats.
 //!
 //! Compared with [`crate::Node`], which distributes signed bundles itself, a sidecar takes each
 //! version as the platform holds it and needs no registrars, leases or claims.
--- a/src/sidecar/watcher.rs
+++ b/src/sidecar/watcher.rs
@@ -1,7 +1,7 @@
 //! Which node of a data centre reads the platform's store for the others.
 //!
 //! The source's capacity does not grow with the fleet, so one node of each data centre, the
-//! watcher, follows the store and tells its neighbours. There is no lease: all nodes rank the
+//! watcher, follows the store and notifies its neighbours. There is no lease: all nodes rank the
 //! members of their data centre in the same order, and the first that is alive and hears the store
 //! is the watcher. Two watchers at a time do no harm, and no watcher lasts only until the next in
 //! rank has missed a few signs of life.
@@ -15,9 +15,9 @@
 pub(super) const PING_PERIOD: Duration = Duration::from_millis(300);
 /// Age of the last sign of life after which a node is passed over: two missed ones. With the time
 /// to read a version it stays well below the time in which a version has to be in force.
-const SILENCE: Duration = Duration::from_millis(800);
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for a node to begin to hear the store before it is passed over.
-const DEAFNESS: Duration = Duration::from_millis(500);
+const STORE_GRACE: Duration = Duration::from_millis(500);
 /// How often the watcher asks all its neighbours for a sign of life.
 pub(super) const SWEEP_PERIOD: Duration = Duration::from_secs(2);
 /// Time for which a neighbour could not be reached after which its entry is deleted; well above a
@@ -32,7 +32,7 @@
     incarnation: u64,
     heard: Instant,
     /// Since when it does not hear the store, if so.
-    deaf_since: Option<Instant>,
+    unreachable_since: Option<Instant>,
 }
 
 /// Signs of life of the neighbours.
@@ -43,12 +43,12 @@
 
 impl Neighbours {
     /// Notes a sign of life, and whether the neighbour hears the store.
-    pub(super) fn heard(&mut self, node: &str, hears_store: bool) {
+    pub(super) fn heard(&mut self, node: &str, store_reachable: bool) {
         let Some(health) = self.health.get_mut(node) else {
             return;
         };
         health.heard = Instant::now();
-        health.deaf_since = match (hears_store, health.deaf_since) {
+        health.unreachable_since = match (store_reachable, health.unreachable_since) {
             (true, _) => None,
             (false, Some(since)) => Some(since),
             (false, None) => Some(Instant::now()),
@@ -60,7 +60,7 @@
         let fresh = Health {
             incarnation,
             heard: Instant::now(),
-            deaf_since: None,
+            unreachable_since: None,
         };
         let health = self.health.entry(node.to_owned()).or_insert(fresh);
         if health.incarnation != incarnation {
@@ -76,10 +76,10 @@
     /// Whether the neighbour can be the watcher, as far as known.
     fn is_fit(&self, node: &str) -> bool {
         self.health.get(node).is_some_and(|health| {
-            health.heard.elapsed() < SILENCE
+            health.heard.elapsed() < HEARTBEAT_TIMEOUT
                 && health
-                    .deaf_since
-                    .is_none_or(|since| since.elapsed() < DEAFNESS)
+                    .unreachable_since
+                    .is_none_or(|since| since.elapsed() < STORE_GRACE)
         })
     }
 
--- a/src/sidecar/watcher/tests.rs
+++ b/src/sidecar/watcher/tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{DEAFNESS, Neighbours, SILENCE, rank, watched};
+use super::{HEARTBEAT_TIMEOUT, Neighbours, STORE_GRACE, rank, watched};
 
 fn names() -> Vec<String> {
     rank(["a", "b", "c", "d", "e", "f"].map(String::from).to_vec())
@@ -37,7 +37,7 @@
 fn a_silent_node_is_passed_over() {
     let ranked = names();
     let mut neighbours = all_alive(&ranked);
-    std::thread::sleep(SILENCE + Duration::from_millis(20));
+    std::thread::sleep(HEARTBEAT_TIMEOUT + Duration::from_millis(20));
     for node in &ranked[1..] {
         neighbours.heard(node, true);
     }
@@ -46,13 +46,13 @@
 }
 
 #[test]
-fn a_node_that_does_not_hear_the_store_is_passed_over_after_a_while() {
+fn a_node_that_does_not_reach_the_store_is_passed_over_after_a_while() {
     let ranked = names();
     let mut neighbours = all_alive(&ranked);
     neighbours.heard(&ranked[0], false);
     let last = ranked.last().unwrap();
     assert_eq!(neighbours.watcher(last, &ranked), Some(ranked[0].as_str()));
-    std::thread::sleep(DEAFNESS + Duration::from_millis(20));
+    std::thread::sleep(STORE_GRACE + Duration::from_millis(20));
     neighbours.heard(&ranked[0], false);
     assert_eq!(neighbours.watcher(last, &ranked), Some(ranked[1].as_str()));
     neighbours.heard(&ranked[0], true);
@@ -70,7 +70,7 @@
 fn a_new_process_starts_with_a_clean_record() {
     let ranked = names();
     let mut neighbours = all_alive(&ranked);
-    std::thread::sleep(SILENCE + Duration::from_millis(20));
+    std::thread::sleep(HEARTBEAT_TIMEOUT + Duration::from_millis(20));
     neighbours.note(&ranked[0], 2);
     let last = ranked.last().unwrap();
     assert_eq!(neighbours.watcher(last, &ranked), Some(ranked[0].as_str()));
--- a/src/soak/storm.rs
+++ b/src/soak/injector.rs
@@ -1,4 +1,4 @@
-//! The faults of a run, what heals them, and what must hold afterwards.
+//! The faults of a run, how they end, and what must hold afterwards.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -70,7 +70,7 @@
 ];
 
 /// A mesh under faults.
-pub(super) struct Storm {
+pub(super) struct Injector {
     pub nodes: Vec<Node>,
     pub store: Arc<StoreServer>,
     pub ledger: Arc<Ledger>,
@@ -79,17 +79,17 @@
 }
 
 /// What ends a fault, and when.
-struct Cure {
+struct Pending {
     at: Instant,
     node: usize,
     fault: Fault,
 }
 
-impl Storm {
+impl Injector {
     /// Plays faults for `duration`.
     pub(super) async fn play(&mut self, rng: &mut StdRng, duration: Duration) {
         let end = Instant::now() + duration;
-        let mut cures: Vec<Cure> = Vec::new();
+        let mut pending: Vec<Pending> = Vec::new();
         while Instant::now() < end {
             if rng.random_bool(CHANGE_SHARE) {
                 self.change();
@@ -98,23 +98,23 @@
             let node = rng.random_range(0..self.nodes.len());
             let lasts = Duration::from_millis(rng.random_range(300..4_000));
             let gap = MAX_GAP.mul_f64(rng.random::<f64>());
-            let busy = cures.iter().any(|cure| cure.node == node);
+            let busy = pending.iter().any(|active| active.node == node);
             if !busy {
                 self.faults.push(format!("{fault:?} at {node}"));
-                self.strike(node, fault).await;
+                self.inject(node, fault).await;
                 let at = Instant::now() + lasts;
-                cures.push(Cure { at, node, fault });
+                pending.push(Pending { at, node, fault });
             }
             tokio::time::sleep(gap).await;
-            let due: Vec<Cure> = cures
-                .extract_if(.., |cure| cure.at <= Instant::now())
+            let due: Vec<Pending> = pending
+                .extract_if(.., |active| active.at <= Instant::now())
                 .collect();
-            for cure in due {
-                self.cure(cure.node, cure.fault).await;
+            for active in due {
+                self.revert(active.node, active.fault).await;
             }
         }
-        for cure in cures {
-            self.cure(cure.node, cure.fault).await;
+        for active in pending {
+            self.revert(active.node, active.fault).await;
         }
     }
 
@@ -123,7 +123,7 @@
         publish(&self.store, &self.ledger, self.version);
     }
 
-    async fn strike(&mut self, index: usize, fault: Fault) {
+    async fn inject(&mut self, index: usize, fault: Fault) {
         if fault == Fault::KillAll {
             for node in &mut self.nodes {
                 node.kill().await;
@@ -153,7 +153,7 @@
         }
     }
 
-    async fn cure(&mut self, index: usize, fault: Fault) {
+    async fn revert(&mut self, index: usize, fault: Fault) {
         if fault == Fault::KillAll {
             for node in &mut self.nodes {
                 note(&self.ledger, node.spawn());
@@ -175,7 +175,7 @@
     }
 
     /// Ends every fault, and makes one more change.
-    pub(super) async fn heal(&mut self) {
+    pub(super) async fn clear(&mut self) {
         self.store.set_fault(None);
         self.change();
         tokio::time::sleep(Duration::from_millis(500)).await;
--- a/src/soak/mod.rs
+++ b/src/soak/mod.rs
@@ -6,9 +6,10 @@
 
 mod caller;
 mod fleet;
+mod injector;
 mod ledger;
 mod relay;
-mod storm;
+
 mod target;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -137,20 +138,20 @@
     }
     tokio::time::sleep(WARM_UP).await;
     let callers = caller::start(net, options.nodes, &ledger, options.seed);
-    let mut trial = storm::Storm {
+    let mut injector = injector::Injector {
         nodes,
         store,
         ledger: ledger.clone(),
         version: 1,
         faults: Vec::new(),
     };
-    trial.play(&mut rng, options.duration).await;
-    trial.heal().await;
-    trial.check_recovery(net, RECOVERY).await;
-    trial.roll(net).await;
+    injector.play(&mut rng, options.duration).await;
+    injector.clear().await;
+    injector.check_recovery(net, RECOVERY).await;
+    injector.roll(net).await;
     callers.stop().await;
-    let faults = std::mem::take(&mut trial.faults);
-    trial.stop().await;
+    let faults = std::mem::take(&mut injector.faults);
+    injector.stop().await;
     Ok(ledger.report(options.seed, faults))
 }
 
--- a/src/soak/target.rs
+++ b/src/soak/target.rs
@@ -1,4 +1,4 @@
-//! A target that speaks of itself, runs requests, and notes what it ran.
+//! A target that sends heartbeats, runs requests, and records each run.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -38,7 +38,7 @@
 }
 
 impl Target {
-    /// Starts a target of `service` at `address` that speaks to the node at `registry`.
+    /// Starts a target of `service` at `address` that sends heartbeats to the node at `registry`.
     pub(super) fn start(
         service: &str,
         address: SocketAddr,
--- a/src/target/gate.rs
+++ b/src/target/gate.rs
@@ -12,7 +12,7 @@
 
 use crate::verdict::{Reason, Refusal};
 
-/// Requests that wait at most; bounds memory, the wait is bounded by the callers' patience.
+/// Requests that wait at most; bounds memory, the wait is bounded by the callers' limits.
 const MAX_QUEUED: usize = 512;
 
 /// Expected waits that a request which can no longer be in time must have left: others pass it.
@@ -53,7 +53,7 @@
     /// End of the latency objective.
     pub objective: Instant,
     /// Longest wait.
-    pub patience: Duration,
+    pub max_wait: Duration,
     /// Usual run time of such requests.
     pub expected: Duration,
     /// Average time for which a request holds a slot.
@@ -110,7 +110,7 @@
         (state.running, queued, state.slots)
     }
 
-    /// Waits for a slot, at most as long as the asker has patience. Refuses at once where the wait
+    /// Waits for a slot, at most for the request's limit. Refuses at once where the wait
     /// would be longer.
     pub(super) async fn admit(self: &Arc<Self>, ask: Ask<'_>) -> Result<Permit, Refusal> {
         let (place, turn) = {
@@ -127,7 +127,7 @@
             let latest_start = ask.objective.checked_sub(ask.expected);
             let latest_start = latest_start.unwrap_or(ask.objective);
             let wait = state.wait(&place, latest_start, ask.run);
-            if wait > ask.patience || state.queue.len() >= MAX_QUEUED {
+            if wait > ask.max_wait || state.queue.len() >= MAX_QUEUED {
                 return Err(overloaded(wait));
             }
             let (sender, turn) = oneshot::channel();
@@ -141,7 +141,7 @@
         };
         let _leave = Leave { gate: self, place };
         let mut turn = turn;
-        let end = Instant::now() + ask.patience;
+        let end = Instant::now() + ask.max_wait;
         let timely_until = ask
             .objective
             .checked_sub(ask.expected)
--- a/src/target/guard.rs
+++ b/src/target/guard.rs
@@ -10,20 +10,20 @@
 
 /// Requests at the target or waiting for it.
 #[derive(Default)]
-pub(super) struct Present {
+pub(super) struct Counter {
     running: AtomicU32,
     repeated: AtomicU32,
     idle: Notify,
 }
 
-impl Present {
+impl Counter {
     /// Counts a request until the guard is dropped.
-    pub(super) fn enter(self: &Arc<Self>, repeated: bool) -> Presence {
+    pub(super) fn enter(self: &Arc<Self>, repeated: bool) -> Counted {
         self.running.fetch_add(1, Ordering::Relaxed);
         self.repeated
             .fetch_add(u32::from(repeated), Ordering::Relaxed);
-        Presence {
-            present: self.clone(),
+        Counted {
+            counter: self.clone(),
             repeated,
         }
     }
@@ -47,19 +47,19 @@
     }
 }
 
-/// A request that is present.
-pub(super) struct Presence {
-    present: Arc<Present>,
+/// A request that is counted.
+pub(super) struct Counted {
+    counter: Arc<Counter>,
     repeated: bool,
 }
 
-impl Drop for Presence {
+impl Drop for Counted {
     fn drop(&mut self) {
-        self.present
+        self.counter
             .repeated
             .fetch_sub(u32::from(self.repeated), Ordering::Relaxed);
-        if self.present.running.fetch_sub(1, Ordering::Relaxed) == 1 {
-            self.present.idle.notify_waiters();
+        if self.counter.running.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.counter.idle.notify_waiters();
         }
     }
 }
--- a/src/target/meter.rs
+++ b/src/target/meter.rs
@@ -8,7 +8,7 @@
 const NEWEST_SHARE: f64 = 0.1;
 /// Run time assumed before the first run.
 const FIRST_RUN: Duration = Duration::from_millis(150);
-/// Runs whose progress is needed before they tell of slowness.
+/// Runs whose progress is needed before they count towards slowness.
 const MIN_RUNNING: usize = 3;
 /// Bounds of the slowness, so that one run cannot move the average without limit.
 const SLOWNESS_RANGE: (f64, f64) = (0.1, 20.0);
@@ -74,7 +74,7 @@
     }
 
     /// Run times relative to what is usual. Runs that are still at work count as soon as half of
-    /// them have taken longer than the average tells.
+    /// them have taken longer than the average.
     pub(super) fn slowness(&self) -> f64 {
         if self.running.len() < MIN_RUNNING {
             return self.slowness;
--- a/src/target/side.rs
+++ b/src/target/side.rs
@@ -13,7 +13,7 @@
 use crate::roster::{Crash, Presence, Suspicions};
 use crate::target::connection::{Connections, Lost};
 use crate::target::gate::{Ask, Gate, Permit};
-use crate::target::guard::{Present, Run};
+use crate::target::guard::{Counter, Run};
 use crate::target::identity::{Identity, Taken};
 use crate::target::meter::Meter;
 use crate::verdict::{Reason, Refusal};
@@ -36,7 +36,7 @@
     suspicions: Arc<Suspicions>,
     down_until: Mutex<Option<Instant>>,
     leaving: AtomicBool,
-    present: Arc<Present>,
+    in_flight: Arc<Counter>,
     lost: Mutex<Vec<u64>>,
     crashes: AtomicU64,
     presence: watch::Sender<(Presence, Option<Target>)>,
@@ -61,7 +61,7 @@
             suspicions,
             down_until: Mutex::new(None),
             leaving: AtomicBool::new(false),
-            present: Arc::default(),
+            in_flight: Arc::default(),
             lost: Mutex::default(),
             crashes: AtomicU64::new(0),
             presence: watch::channel((Presence::Down, None)).0,
@@ -136,7 +136,7 @@
         self.settle();
     }
 
-    /// Opens or closes the gate by what is known, and says so.
+    /// Opens or closes the gate by what is known, and publishes the presence.
     fn settle(self: &Arc<Self>) {
         let identity = lock(&self.identity);
         let current = identity.current();
@@ -196,19 +196,19 @@
     /// Share of repeats among the requests at the target: the likelihood that a request which the
     /// target makes belongs to a repeat.
     pub(crate) fn repeated_share(&self) -> f64 {
-        self.present.repeated_share()
+        self.in_flight.repeated_share()
     }
 
     /// Waits until no request is at the target or waits for it.
     pub(crate) async fn idle(&self) {
-        self.present.none().await;
+        self.in_flight.none().await;
     }
 
     /// Runs a request at the target. Dropping the future cancels it, unless it must not be
     /// repeated and has begun.
     pub(crate) async fn run(self: &Arc<Self>, offer: Offer) -> Result<Response, Refusal> {
         let began = Instant::now();
-        let _present = self.present.enter(offer.repeated);
+        let _counted = self.in_flight.enter(offer.repeated);
         if self.suspicions.refuses(offer.fingerprint) {
             return Err(Refusal::not_run(Reason::Suspected));
         }
@@ -235,7 +235,7 @@
         }
         let side = self.clone();
         let sending = tokio::spawn(async move {
-            let _present = side.present.enter(false);
+            let _counted = side.in_flight.enter(false);
             side.send(offer, &id, left, permit).await
         });
         let lost = Refusal::may_have_run(Reason::ConnectionLost);
@@ -259,7 +259,7 @@
             service: &offer.service,
             rank: offer.rank,
             objective: Instant::now() + offer.objective,
-            patience: offer.patience.min(left),
+            max_wait: offer.max_wait.min(left),
             expected: offer.expected,
             run,
         };
@@ -307,7 +307,7 @@
         }
     }
 
-    /// Accepts an answer, or says what it is instead.
+    /// Accepts an answer, or classifies the failure.
     fn judge(
         &self,
         request_id: &str,
--- a/src/target/tests/gate.rs
+++ b/src/target/tests/gate.rs
@@ -9,12 +9,12 @@
 const PATIENT: Duration = Duration::from_secs(5);
 const RUN: Duration = Duration::from_millis(100);
 
-fn ask(rank: u32, objective: Duration, patience: Duration) -> Ask<'static> {
+fn ask(rank: u32, objective: Duration, max_wait: Duration) -> Ask<'static> {
     Ask {
         service: "booking",
         rank,
         objective: Instant::now() + objective,
-        patience,
+        max_wait,
         expected: RUN,
         run: RUN,
     }
@@ -33,8 +33,8 @@
         .unwrap()
 }
 
-async fn refusal(gate: &Arc<Gate>, patience: Duration) -> Refusal {
-    gate.admit(ask(0, RUN, patience)).await.err().unwrap()
+async fn refusal(gate: &Arc<Gate>, max_wait: Duration) -> Refusal {
+    gate.admit(ask(0, RUN, max_wait)).await.err().unwrap()
 }
 
 #[tokio::test]
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::h1::{Request, Response, Stream};
-use crate::link::{Entry, Hello, News, Offer, Packed, Service, Status, Target, Wanted};
+use crate::link::{Entry, Hello, Offer, Packed, Service, Status, Target, Update, Wanted};
 use crate::roster::Presence;
 use crate::verdict::{Reason, Refusal};
 
@@ -151,7 +151,7 @@
         idempotent,
         repeated: false,
         rank: 0,
-        patience: left,
+        max_wait: left,
         objective: left,
         left,
         expected: Duration::from_millis(50),
@@ -181,10 +181,10 @@
 }
 
 /// A node that runs nothing and learns nothing.
-pub(crate) struct Nobody;
+pub(crate) struct NullService;
 
 #[async_trait]
-impl Service for Nobody {
+impl Service for NullService {
     fn hello(&self) -> Hello {
         Hello {
             entry: entry("own", "bkk", "bkk-a", 1),
@@ -196,14 +196,14 @@
         Err(Refusal::not_run(Reason::NoTarget))
     }
 
-    fn heard(&self, _: &str, _: Status) -> Wanted {
+    fn observe(&self, _: &str, _: Status) -> Wanted {
         Wanted::default()
     }
 
-    fn learn(&self, _: News) {}
+    fn learn(&self, _: Update) {}
 
-    fn roster(&self) -> News {
-        News::default()
+    fn roster(&self) -> Update {
+        Update::default()
     }
 
     fn version_above(&self, _: u64) -> Option<Packed> {
--- a/src/version.rs
+++ b/src/version.rs
@@ -18,7 +18,7 @@
 pub(crate) struct InForce {
     /// Its number.
     pub version: Version,
-    /// What it says.
+    /// Its content.
     pub bundle: Bundle,
     /// Its routes, compiled.
     pub table: Table,
