Clear suspicions everywhere when a suspected request completes

Found by reading: the message had a field for it that nothing sent, so a common request that ran beside a crashing one twice was refused for five minutes at all nodes. Tests: a_suspected_request_that_completes_is_cleared, requests_in_flight_at_a_crash_are_reported.

--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -17,7 +17,7 @@
 use crate::verdict::Refusal;
 use crate::version::Versions;
 
-/// Time for which the watcher's entries may differ from this node's: update is on its way.
+/// Time for which the watcher's entries may differ from this node's while updates are on their way.
 const ROSTER_GRACE: Duration = Duration::from_millis(700);
 
 /// The node among other nodes.
@@ -124,7 +124,7 @@
         self.publish(entry);
     }
 
-    /// Takes entries from any source; returns whether the own entry was among them as it is now.
+    /// Takes entries from any source.
     pub(crate) fn learn_entries(&self, entries: Vec<Entry>) {
         let own = self.own();
         let (mine, others): (Vec<Entry>, Vec<Entry>) = entries
@@ -152,6 +152,16 @@
         self.directory.broadcast(&update, true);
     }
 
+    /// Notifies all nodes that a suspected request has completed.
+    pub(crate) fn report_cleared(&self, fingerprint: u64) {
+        log::info!(event = "suspicion_cleared", fingerprint = fingerprint; "");
+        let update = Update {
+            cleared: vec![fingerprint],
+            ..Update::default()
+        };
+        self.directory.broadcast(&update, true);
+    }
+
     /// The node's status, which goes with every reply.
     pub(crate) fn status(&self) -> Status {
         Status {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -30,7 +30,7 @@
 use crate::roster::{Presence, Suspicions};
 use crate::sidecar::hub::Hub;
 use crate::store::{Change, Feed, Table};
-use crate::target::Side;
+use crate::target::{Finding, Side};
 use crate::telemetry::{Counters, Histograms};
 use crate::version::Versions;
 
@@ -68,13 +68,8 @@
         let histograms = Arc::new(Histograms::default());
         let suspicions = Arc::new(Suspicions::default());
         let versions = Arc::new(Versions::new(dialect.clone()));
-        let (report_crash, crashes) = mpsc::unbounded_channel();
-        let side = Side::new(
-            settings.target,
-            dialect.clone(),
-            suspicions.clone(),
-            report_crash,
-        );
+        let (report, findings) = mpsc::unbounded_channel();
+        let side = Side::new(settings.target, dialect.clone(), suspicions.clone(), report);
         let directory = Arc::new(Directory::new(Place {
             node: settings.node.clone(),
             region: settings.region.clone(),
@@ -140,14 +135,14 @@
             _servers: servers,
             _running: running,
         };
-        node.spawn(mesh, crashes, dialect.version_key(), &stopped);
+        node.spawn(mesh, findings, dialect.version_key(), &stopped);
         Ok(node)
     }
 
     fn spawn(
         &self,
         mesh: tokio::net::TcpListener,
-        crashes: mpsc::UnboundedReceiver<Vec<u64>>,
+        findings: mpsc::UnboundedReceiver<Finding>,
         version_key: &'static str,
         stopped: &watch::Receiver<()>,
     ) {
@@ -191,7 +186,7 @@
             stopped.clone(),
         ));
         tokio::spawn(follow_target(hub.clone(), self.side.clone()));
-        tokio::spawn(report_crashes(hub.clone(), self.side.clone(), crashes));
+        tokio::spawn(report_findings(hub.clone(), self.side.clone(), findings));
     }
 
     /// Takes changed settings. What can change while the node runs is the service of its callers;
@@ -268,13 +263,19 @@
     }
 }
 
-async fn report_crashes(
+/// Passes on what the target side learns about crashing requests.
+async fn report_findings(
     hub: Arc<Hub>,
     side: Arc<Side>,
-    mut crashes: mpsc::UnboundedReceiver<Vec<u64>>,
+    mut findings: mpsc::UnboundedReceiver<Finding>,
 ) {
-    while let Some(fingerprints) = crashes.recv().await {
-        let own = hub.own();
-        hub.report_crash(side.crash(&own.node, own.incarnation, fingerprints));
+    while let Some(finding) = findings.recv().await {
+        match finding {
+            Finding::Crashed(fingerprints) => {
+                let own = hub.own();
+                hub.report_crash(side.crash(&own.node, own.incarnation, fingerprints));
+            }
+            Finding::Cleared(fingerprint) => hub.report_cleared(fingerprint),
+        }
     }
 }
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -12,7 +12,7 @@
 mod side;
 
 pub(crate) use identity::Taken;
-pub(crate) use side::Side;
+pub(crate) use side::{Finding, Side};
 
 #[cfg(test)]
 mod tests;
--- a/src/target/side.rs
+++ b/src/target/side.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use hyper::header::HeaderMap;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::dialect::{Dialect, Heartbeat, Phase};
 use crate::h1::{Request, Response};
@@ -40,17 +40,26 @@
     lost: Mutex<Vec<u64>>,
     crashes: AtomicU64,
     presence: watch::Sender<(Presence, Option<Target>)>,
-    crashed: tokio::sync::mpsc::UnboundedSender<Vec<u64>>,
+    findings: mpsc::UnboundedSender<Finding>,
+}
+
+/// What the target side learns about requests that may crash targets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Finding {
+    /// The target crashed while requests with these fingerprints were in flight.
+    Crashed(Vec<u64>),
+    /// A request with this suspected fingerprint completed.
+    Cleared(u64),
 }
 
 impl Side {
-    /// A target side for the target at `address`. Fingerprints in flight at a crash are sent to
-    /// `crashed`.
+    /// A target side for the target at `address`. What it learns about crashing requests is sent to
+    /// `findings`.
     pub(crate) fn new(
         address: std::net::SocketAddr,
         dialect: Arc<dyn Dialect>,
         suspicions: Arc<Suspicions>,
-        crashed: tokio::sync::mpsc::UnboundedSender<Vec<u64>>,
+        findings: mpsc::UnboundedSender<Finding>,
     ) -> Arc<Self> {
         Arc::new(Self {
             dialect,
@@ -65,7 +74,7 @@
             lost: Mutex::default(),
             crashes: AtomicU64::new(0),
             presence: watch::channel((Presence::Down, None)).0,
-            crashed,
+            findings,
         })
     }
 
@@ -330,7 +339,9 @@
             return Err(Refusal::may_have_run(Reason::Spoiled));
         }
         run.end(Some(response.status.is_server_error()));
-        self.suspicions.complete(fingerprint);
+        if self.suspicions.complete(fingerprint) {
+            let _ = self.findings.send(Finding::Cleared(fingerprint));
+        }
         Ok(response)
     }
 
@@ -378,7 +389,7 @@
             let suspicious = side.suspicions.suspicious(lost);
             if !suspicious.is_empty() {
                 side.crashes.fetch_add(1, Ordering::Relaxed);
-                let _ = side.crashed.send(suspicious);
+                let _ = side.findings.send(Finding::Crashed(suspicious));
             }
         });
     }
--- a/src/target/tests/side.rs
+++ b/src/target/tests/side.rs
@@ -9,7 +9,7 @@
 use crate::h1::Response;
 use crate::platform;
 use crate::roster::{Crash, Presence, Suspicions};
-use crate::target::Side;
+use crate::target::{Finding, Side};
 use crate::testing::{Act, FAILURE, GOOD, Scripted, offer, until};
 use crate::verdict::{Reason, Refusal, Verdict};
 
@@ -49,21 +49,28 @@
     target: Scripted,
     side: Arc<Side>,
     suspicions: Arc<Suspicions>,
-    crashes: mpsc::UnboundedReceiver<Vec<u64>>,
+    findings: mpsc::UnboundedReceiver<Finding>,
 }
 
-async fn bench(script: &[Act]) -> Bench {
-    let target = Scripted::start(script).await;
+type Parts = (Arc<Suspicions>, Arc<Side>, mpsc::UnboundedReceiver<Finding>);
+
+fn bench_at(address: std::net::SocketAddr) -> Parts {
     let suspicions = Arc::new(Suspicions::default());
-    let (report, crashes) = mpsc::unbounded_channel();
+    let (report, findings) = mpsc::unbounded_channel();
     let dialect = Arc::new(platform::Dialect);
-    let side = Side::new(target.address, dialect, suspicions.clone(), report);
+    let side = Side::new(address, dialect, suspicions.clone(), report);
     side.heartbeat(heartbeat(1, Phase::Ready));
+    (suspicions, side, findings)
+}
+
+async fn bench(script: &[Act]) -> Bench {
+    let target = Scripted::start(script).await;
+    let (suspicions, side, findings) = bench_at(target.address);
     Bench {
         target,
         side,
         suspicions,
-        crashes,
+        findings,
     }
 }
 
@@ -229,5 +236,34 @@
     let mut bench = bench(&[Act::Close]).await;
     run(&bench.side, true).await.unwrap_err();
     tokio::time::sleep(Duration::from_millis(300)).await;
-    assert!(bench.crashes.try_recv().is_err());
+    assert!(bench.findings.try_recv().is_err());
+}
+
+#[tokio::test]
+async fn a_suspected_request_that_completes_is_cleared() {
+    let mut bench = bench(&[Act::Answer(GOOD)]).await;
+    bench.suspicions.note(&Crash {
+        node: "elsewhere".into(),
+        number: 0,
+        incarnation: 1,
+        fingerprints: vec![7],
+    });
+    run(&bench.side, true).await.unwrap();
+    assert_eq!(bench.findings.try_recv().unwrap(), Finding::Cleared(7));
+}
+
+#[tokio::test]
+async fn requests_in_flight_at_a_crash_are_reported() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut bench = bench_at(listener.local_addr().unwrap());
+    let side = bench.1.clone();
+    let running = tokio::spawn(async move { run(&side, true).await });
+    let (stream, _) = listener.accept().await.unwrap();
+    drop(listener);
+    drop(stream);
+    let refusal = running.await.unwrap().unwrap_err();
+    assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+    let finding = tokio::time::timeout(Duration::from_secs(2), bench.2.recv()).await;
+    assert_eq!(finding.unwrap().unwrap(), Finding::Crashed(vec![7]));
+    assert_eq!(bench.1.watch().borrow().0, Presence::Down);
 }
