Install signal handlers before the first listener opens

The time from exec to the handlers remains; the soak waits 300 ms after a start before it sends SIGTERM.

--- a/src/bin/bluebellgap/sidecar.rs
+++ b/src/bin/bluebellgap/sidecar.rs
@@ -16,11 +16,12 @@
 
 /// Runs a sidecar until SIGTERM or SIGINT, then leaves gracefully.
 pub(crate) async fn run(file: &Path) -> Result<()> {
-    let mut text = read_text(file)?;
-    let mut node = Sidecar::start(parse(file, &text)?)?;
+    // Before the first listener opens, so that no signal ends a node that serves.
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
+    let mut text = read_text(file)?;
+    let mut node = Sidecar::start(parse(file, &text)?)?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::process::Stdio;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::process::{Child, Command};
@@ -17,6 +17,8 @@
 
 /// Time in which a process has to end after SIGTERM.
 pub(super) const GRACE: Duration = Duration::from_secs(6);
+/// Time for a new process to reach its signal handlers on a busy machine.
+const START_TIME: Duration = Duration::from_millis(300);
 
 /// A node with everything around it.
 pub(super) struct Node {
@@ -28,6 +30,7 @@
     pub target: Target,
     options: Options,
     child: Option<Child>,
+    spawned: Instant,
 }
 
 impl Node {
@@ -50,6 +53,7 @@
             target: Target::start(service, origin, registry, ledger)?,
             options: options.clone(),
             child: None,
+            spawned: Instant::now(),
             name,
             index,
         };
@@ -83,6 +87,7 @@
             .kill_on_drop(true)
             .spawn()?;
         self.child = Some(child);
+        self.spawned = Instant::now();
         Ok(())
     }
 
@@ -104,8 +109,11 @@
 
     /// Asks the process to end, and waits for that.
     ///
-    /// Fails if it does not end within its grace time.
+    /// Fails if it does not end within its grace time. A process that was started a moment ago is
+    /// given time to take signals; before that it serves nobody.
     pub(super) async fn terminate(&mut self) -> Result<()> {
+        let young = START_TIME.saturating_sub(self.spawned.elapsed());
+        tokio::time::sleep(young).await;
         self.signal(Signal::TERM);
         let Some(child) = self.child.as_mut() else {
             return Ok(());
--- a/src/soak/mod.rs
+++ b/src/soak/mod.rs
@@ -107,7 +107,7 @@
 impl Net {
     /// Addresses that no other seed of this or another process is likely to use at the same time.
     fn of(seed: u64) -> Self {
-        let part = (u64::from(std::process::id()) + seed) % 200;
+        let part = (u64::from(std::process::id()) + seed) % 211;
         Self(20 + u8::try_from(part).unwrap_or_default())
     }
 
