An answer that is no longer kept does not become not run

Found in reading the change once more: when kept answers passed 4 MB, the oldest offers were forgotten whole, revoked ones too. A node that asked again on a new connection would have heard that a request which had run never arrived, and a revoked one could have run. Change: beyond the bound only the answer is dropped; that it may have run stays known for the full 10 s. Bounds unchanged. Test: an_answer_that_is_no_longer_kept_does_not_become_not_run, red before.

--- a/src/link/jobs.rs
+++ b/src/link/jobs.rs
@@ -144,14 +144,28 @@
 impl Table {
     fn forget_old(&mut self) {
         while let Some((ended, ticket)) = self.ended.front().copied() {
-            if ended.elapsed() < KEPT && self.kept_bytes <= MAX_KEPT_BYTES {
-                return;
+            if ended.elapsed() < KEPT {
+                break;
             }
             self.ended.pop_front();
             if let Some(State::Done { bytes, .. }) = self.states.remove(&ticket) {
                 self.kept_bytes -= bytes;
             }
         }
+        self.drop_replies();
+    }
+
+    /// Drops the oldest replies beyond the bound. That their requests ran is not forgotten.
+    fn drop_replies(&mut self) {
+        for (_, ticket) in &self.ended {
+            if self.kept_bytes <= MAX_KEPT_BYTES {
+                return;
+            }
+            if let Some(State::Done { reply, bytes }) = self.states.get_mut(ticket) {
+                self.kept_bytes -= std::mem::take(bytes);
+                *reply = Reply::Refused(Refusal::may_have_run(Reason::ConnectionLost));
+            }
+        }
     }
 }
 
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -13,6 +13,7 @@
 
 use crate::h1::Response;
 use crate::link::frame::Frame;
+use crate::link::jobs::Jobs;
 use crate::link::session;
 use crate::link::{
     Entry, Hello, Link, Offer, Packed, Reply, Service, Status, Update, Wanted, listen,
@@ -315,6 +316,30 @@
     assert_eq!(node.begun(), 0);
 }
 
+#[tokio::test]
+async fn an_answer_that_is_no_longer_kept_does_not_become_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (near, far) = tokio::join!(TcpStream::connect(address), listener.accept());
+    let (sender, _near) = session::start(near.unwrap()).unwrap();
+    let (_far, mut receiver) = session::start(far.unwrap().0).unwrap();
+    let jobs = Jobs::default();
+    for ticket in 0..3 {
+        assert!(jobs.begin(ticket, sender.clone()));
+        let mut answer = Response::text(StatusCode::OK, "");
+        answer.body = vec![0; 3 * 1024 * 1024].into();
+        jobs.end(ticket, Status::default(), Reply::Answer((&answer).into()));
+    }
+    jobs.inquire(0, Status::default(), sender);
+    let mut last = None;
+    while let Ok(Ok(Frame::Reply(_, _, reply))) =
+        tokio::time::timeout(Duration::from_millis(500), receiver.next()).await
+    {
+        last = Some(reply);
+    }
+    assert_eq!(verdict(&last.unwrap()), LOST);
+}
+
 #[tokio::test]
 async fn both_sides_learn_who_the_other_is() {
     let node = Node::new("n", 1, Duration::ZERO);
