Work out the watcher once per status of a peer

Each status ranked and hashed the data centre's nodes twice, once for the sender and once for the reach of the store.

--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -188,7 +188,12 @@
 
     /// Whether what the store holds reaches this node, directly or through the watcher.
     pub(crate) fn source_reachable(&self) -> bool {
-        !self.is_watcher() || self.store_answers.load(Ordering::Relaxed)
+        self.reaches_source(self.watcher().as_deref())
+    }
+
+    fn reaches_source(&self, watcher: Option<&str>) -> bool {
+        let other = watcher.is_some_and(|watcher| watcher != self.own().node);
+        other || self.store_answers.load(Ordering::Relaxed)
     }
 
     /// The nodes of this data centre by rank.
@@ -316,8 +321,9 @@
         }
         let own = self.versions.number();
         lock(&self.neighbours).heard(node, status.store_reachable);
-        let from_watcher = self.watcher().is_some_and(|watcher| watcher == node);
-        let eager = from_watcher || own == 0 || !self.source_reachable();
+        let watcher = self.watcher();
+        let from_watcher = watcher.as_deref() == Some(node);
+        let eager = from_watcher || own == 0 || !self.reaches_source(watcher.as_deref());
         let differs = from_watcher && status.roster != self.directory.digest();
         Wanted {
             version: lock(&self.behind).hear(status.version, own, eager),
