A stopping node takes only requests that are answered before it ends

With most nodes of a data centre rolled at once, callers keep sending to a node that stops. It took requests until its last in flight at the target had ended, waited for their answers up to its end, and cut off those that lasted longer (request sent 4.4 s after SIGTERM, cut at 5.8 s). Where it found a quiet moment it closed the listener instead, and such callers got no connection. Ruled out: a target that broke off; its run had just ended with 200. Change: after the notice a node refuses, with when to come back, only what its deadline allows to outlast the node, serves the rest, and answers at its end what is still at work. The listener stays open until nothing is unanswered. The presence of the target is subscribed to before its first heartbeat can arrive. Test: a_stopping_node_cuts_off_nothing_that_it_has_taken, red before (connection refused).

--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -7,6 +7,8 @@
 use async_trait::async_trait;
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
+use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
 
 use crate::bundle::Intake;
 use crate::dialect::Dialect;
@@ -55,6 +57,10 @@
     pub counters: Arc<Counters>,
     pub histograms: Arc<Histograms>,
     caller_service: ArcSwapOption<String>,
+    /// When this node ends, once that is known.
+    end: watch::Sender<Option<Instant>>,
+    /// Requests that are not answered yet.
+    unanswered: TaskTracker,
     budget: Budget,
     usual: Usual,
 }
@@ -76,7 +82,12 @@
             .unwrap_or_default();
         let request_id = request_id.to_owned();
         self.counters.count("requests");
-        match self.serve(&request, &request_id).await {
+        let _unanswered = self.unanswered.token();
+        let answer = tokio::select! {
+            answer = self.serve(&request, &request_id) => answer,
+            () = self.ended() => Err(Refusal::may_have_run(Reason::Stopping)),
+        };
+        match answer {
             Ok(response) => response,
             Err(refusal) => self.refuse(&refusal, &request, &request_id, began.elapsed()),
         }
@@ -104,6 +115,8 @@
             counters,
             histograms,
             caller_service: ArcSwapOption::empty(),
+            end: watch::Sender::new(None),
+            unanswered: TaskTracker::new(),
             budget: Budget::new(limits),
             usual: Usual::default(),
         }
@@ -115,6 +128,40 @@
             .store(Some(Arc::new(service.to_owned())));
     }
 
+    /// Refuses requests from now on whose deadline is after `end`, when this node ends, and answers
+    /// at `end` those that are still at work.
+    pub(crate) fn stop_by(&self, end: Instant) {
+        self.end.send_replace(Some(end));
+    }
+
+    /// Waits until no request is unanswered.
+    pub(crate) async fn idle(&self) {
+        self.unanswered.close();
+        self.unanswered.wait().await;
+    }
+
+    /// Refuses a call that could outlast the node.
+    fn check_end(&self, call: &Call) -> Result<(), Refusal> {
+        match *self.end.borrow() {
+            Some(end) if call.deadline > end => Err(Refusal {
+                retry_after: Some(end.saturating_duration_since(Instant::now())),
+                ..Refusal::not_run(Reason::Stopping)
+            }),
+            _ => Ok(()),
+        }
+    }
+
+    /// Waits for the end of the node.
+    async fn ended(&self) {
+        let mut end = self.end.subscribe();
+        let known = end.wait_for(Option::is_some).await;
+        let at = known.ok().and_then(|end| *end);
+        match at {
+            Some(at) => tokio::time::sleep_until(at.into()).await,
+            None => std::future::pending().await,
+        }
+    }
+
     async fn serve(&self, request: &Request, request_id: &str) -> Result<Response, Refusal> {
         let in_force = self.in_force.load_full();
         let in_force = in_force.ok_or_else(|| Refusal::not_run(Reason::NoBundle))?;
@@ -135,6 +182,7 @@
             caller_service.as_deref().map_or("", String::as_str),
             usual,
         );
+        self.check_end(&call)?;
         if self.suspicions.refuses(call.fingerprint) {
             return Err(Refusal::not_run(Reason::Suspected));
         }
--- a/src/forward/tests/forwarder.rs
+++ b/src/forward/tests/forwarder.rs
@@ -1,7 +1,7 @@
 //! Requests of a caller through its node to a scripted target beside it.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::Method;
 use tokio::sync::mpsc;
@@ -149,10 +149,39 @@
     second
         .headers
         .insert("bluebellgap-deadline-ms", "60".parse().unwrap());
-    let began = std::time::Instant::now();
+    let began = Instant::now();
     let response = bench.forwarder.handle(second).await;
     assert_eq!(response.status.as_u16(), 503);
     assert!(began.elapsed() < Duration::from_millis(100));
     assert_eq!(running.await.unwrap().status.as_u16(), 504);
     assert_eq!(bench.target.requests(), 1);
 }
+
+#[tokio::test]
+async fn a_node_that_ends_takes_only_what_is_answered_before() {
+    let bench = bench(&[Act::Answer(GOOD)]).await;
+    bench
+        .forwarder
+        .stop_by(Instant::now() + Duration::from_millis(300));
+    let outlasting = send(&bench, "/once/a").await;
+    assert_eq!(outlasting.status.as_u16(), 503);
+    assert!(outlasting.headers.contains_key("retry-after"));
+    assert_eq!(bench.target.requests(), 0);
+    let mut short = request(Method::GET, "/once/b", "2");
+    short
+        .headers
+        .insert("bluebellgap-deadline-ms", "200".parse().unwrap());
+    assert_eq!(bench.forwarder.handle(short).await.status.as_u16(), 200);
+}
+
+#[tokio::test]
+async fn a_request_at_work_when_the_node_ends_gets_an_answer() {
+    let bench = bench(&[Act::Silent]).await;
+    let forwarder = bench.forwarder.clone();
+    let running =
+        tokio::spawn(async move { forwarder.handle(request(Method::GET, "/once/a", "1")).await });
+    crate::testing::until("arrived", || bench.target.requests() == 1).await;
+    bench.forwarder.stop_by(Instant::now());
+    assert_eq!(running.await.unwrap().status.as_u16(), 502);
+    bench.forwarder.idle().await;
+}
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -185,7 +185,7 @@
             hub.clone(),
             stopped.clone(),
         ));
-        tokio::spawn(follow_target(hub.clone(), self.side.clone()));
+        tokio::spawn(follow_target(hub.clone(), self.side.watch()));
         tokio::spawn(report_findings(hub.clone(), self.side.clone(), findings));
     }
 
@@ -220,11 +220,18 @@
         let began = tokio::time::Instant::now();
         self.leaving.store(true, Ordering::Relaxed);
         let deadline = began + shutdown.grace.saturating_sub(GRACE_MARGIN);
-        let finished = async {
+        let end = deadline - FINISH_TIMEOUT;
+        let answered = async {
             // The target still runs, so other nodes may use it until this one has to end.
             tokio::time::sleep(shutdown.notice).await;
             self.side.leave();
+            self.forwarder.stop_by(end.into_std());
             self.side.idle().await;
+            // Callers that have no other node still come, and are served meanwhile.
+            self.forwarder.idle().await;
+        };
+        let answered = tokio::time::timeout_at(end, answered).await;
+        let finished = async {
             self.caller.finish().await;
             self.side.idle().await;
             tokio::time::sleep(FINISH_TIMEOUT).await;
@@ -235,7 +242,12 @@
             let withdrawn = follow::withdraw(self.store.as_ref(), &self.settings.node);
             let _ = tokio::time::timeout(WITHDRAW_TIMEOUT, withdrawn).await;
         }
-        log::info!(event = "stopped", in_flight = finished.is_err(); "");
+        log::info!(
+            event = "stopped",
+            unanswered = answered.is_err(),
+            connections_open = finished.is_err();
+            ""
+        );
     }
 }
 
@@ -255,8 +267,10 @@
 }
 
 /// Announces what becomes of the target.
-async fn follow_target(hub: Arc<Hub>, side: Arc<Side>) {
-    let mut presence = side.watch();
+async fn follow_target(
+    hub: Arc<Hub>,
+    mut presence: watch::Receiver<(Presence, Option<link::Target>)>,
+) {
     while presence.changed().await.is_ok() {
         let (presence, target) = presence.borrow_and_update().clone();
         hub.set_presence(presence, target);
@@ -279,3 +293,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/sidecar/tests.rs
@@ -0,0 +1,110 @@
+//! Whole nodes against a stand-in of the store and scripted targets.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::dialect::{Heartbeat, Phase};
+use crate::forward::Limits;
+use crate::platform::sample;
+use crate::sidecar::{Listen, Settings, Shutdown, Sidecar};
+use crate::standin::StoreServer;
+use crate::testing::{Act, Scripted, read_to_end, until};
+
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+const HOST: &str = "shop.example";
+
+async fn store() -> StoreServer {
+    let store = StoreServer::start().await.unwrap();
+    let route = sample::Route {
+        prefix: "/once/",
+        service: "booking",
+        idempotent: false,
+    };
+    let (table, key) = sample::CONFIG_ROW;
+    let config = sample::config(1, HOST, &["booking"], &[route]);
+    store.put(table, key, &config);
+    store
+}
+
+fn settings(name: &str, store: &StoreServer, target: SocketAddr) -> Settings {
+    Settings {
+        node: name.into(),
+        region: "bkk".into(),
+        data_center: "bkk-a".into(),
+        service: "booking".into(),
+        listen: Listen {
+            caller: ANY,
+            mesh: ANY,
+            advertise: None,
+            heartbeat: None,
+            admin: ANY,
+            metrics: None,
+        },
+        platform: store.address(),
+        target,
+        seeds: Vec::new(),
+        shutdown: Shutdown {
+            notice: Duration::from_millis(200),
+            grace: Duration::from_secs(2),
+        },
+        retries: Limits {
+            ratio: 0.2,
+            slack: 50.0,
+            window: Duration::from_secs(10),
+        },
+    }
+}
+
+/// A node whose target announces itself, if there is one.
+fn start(name: &str, store: &StoreServer, target: &Scripted, announced: bool) -> Sidecar {
+    let node = Sidecar::start(settings(name, store, target.address)).unwrap();
+    if announced {
+        node.side.heartbeat(Heartbeat {
+            id: format!("t-{name}"),
+            started_ms: 1,
+            sequence: 1,
+            service: "booking".into(),
+            slots: 4,
+            phase: Phase::Ready,
+            cold: Duration::ZERO,
+        });
+    }
+    node
+}
+
+/// Sends a request that may take `patience_ms`, and reads until the connection ends.
+async fn send(address: SocketAddr, patience_ms: u64) -> String {
+    let id = format!("{:x}", rand::random::<u64>());
+    let marks = sample::caller_headers(&id, patience_ms);
+    let text = format!("GET /once/a HTTP/1.1\r\nhost: {HOST}\r\n{marks}connection: close\r\n\r\n");
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    read_to_end(&mut stream).await
+}
+
+#[tokio::test]
+async fn a_stopping_node_cuts_off_nothing_that_it_has_taken() {
+    let store = store().await;
+    let target = Scripted::start(&[Act::Silent]).await;
+    let other = start("other", &store, &target, true);
+    let node = start("node", &store, &target, false);
+    let known = |node: &Sidecar| {
+        let found = node.hub.directory.find("other");
+        node.version() == 1 && found.is_some_and(|other| other.is_serving())
+    };
+    until("acquainted", || known(&node) && known(&other)).await;
+    let address = node.caller_address();
+    let held = tokio::spawn(send(address, 1_400));
+    until("held", || target.requests() == 1).await;
+    let leaving = tokio::spawn(node.leave());
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let late = send(address, 1_400).await;
+    assert!(late.starts_with("HTTP/1.1 503"), "{late}");
+    assert!(late.contains("retry-after"), "{late}");
+    assert!(held.await.unwrap().starts_with("HTTP/1.1 50"));
+    leaving.await.unwrap();
+    assert_eq!(target.requests(), 1);
+}
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -97,6 +97,9 @@
     /// The caller left.
     #[display("cancelled by the caller")]
     Cancelled,
+    /// The caller's node ends before the request is sure to be answered.
+    #[display("node is stopping")]
+    Stopping,
 }
 
 /// A request that was refused or lost: the reason, the verdict and when to try again.
