Keep only the bytes of recent versions, and read specs without a tree

A node's private memory rose from 3.4 to 12 MB with the first versions: the four latest were kept with their model and routes, and reading one built a tree of values of some megabytes. Ruled out: histograms (25 KB a route that is used), links that are not connected. Change: recent versions are kept as bytes; the model is dropped once compiled; specs are read from the raw text; link buffers start at 1 KB. The check that a refused version changes nothing now asks the compiled routes, as the model is gone.

--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -71,7 +71,7 @@
         let in_force = self.in_force.load();
         in_force
             .as_ref()
-            .map_or_else(Intake::default, |in_force| in_force.bundle.intake)
+            .map_or_else(Intake::default, |in_force| in_force.intake)
     }
 
     async fn handle(&self, request: Request) -> Response {
--- a/src/link/session.rs
+++ b/src/link/session.rs
@@ -11,6 +11,11 @@
 
 /// Frames that wait to be written at most; a peer that reads too slowly loses its connection.
 const QUEUED_FRAMES: usize = 4096;
+/// First size of a connection's buffers in bytes, which hold most frames: a node has many
+/// connections and little memory. They grow with the frames.
+const BUFFER_BYTES: usize = 1024;
+/// Bytes that are collected before they are written.
+const WRITE_BYTES: usize = 8 * 1024;
 
 /// Sender of frames to one connection; the connection ends when all senders are gone.
 #[derive(Clone)]
@@ -52,12 +57,17 @@
     tokio::spawn(write(queue, writer));
     Ok((
         Sender(sender),
-        Receiver(FramedRead::new(reader, Codec::new())),
+        Receiver(FramedRead::with_capacity(
+            reader,
+            Codec::new(),
+            BUFFER_BYTES,
+        )),
     ))
 }
 
 async fn write(mut queue: mpsc::Receiver<Frame>, writer: OwnedWriteHalf) {
-    let mut framed = FramedWrite::new(writer, Codec::new());
+    let mut framed = FramedWrite::with_capacity(writer, Codec::new(), BUFFER_BYTES);
+    framed.set_backpressure_boundary(WRITE_BYTES);
     while let Some(frame) = queue.recv().await {
         let mut written = framed.feed(frame).await;
         while let (Ok(()), Ok(frame)) = (&written, queue.try_recv()) {
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::value::RawValue;
 
 use crate::bundle::{Bundle, Class, ClassKind, Group, Intake, Route, Service, Version};
 
@@ -16,17 +16,20 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
-struct Config {
+struct Config<'a> {
     version: u64,
-    resources: Vec<Resource>,
+    #[serde(borrow)]
+    resources: Vec<Resource<'a>>,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
-struct Resource {
+struct Resource<'a> {
     kind_of: String,
     metadata: Metadata,
-    spec: Value,
+    /// Read once the kind is known.
+    #[serde(borrow)]
+    spec: &'a RawValue,
 }
 
 #[derive(Deserialize)]
@@ -100,8 +103,8 @@
     Ok((Version(config.version), bundle))
 }
 
-fn parse<T: serde::de::DeserializeOwned>(name: &str, spec: Value) -> Result<T, String> {
-    serde_json::from_value(spec).map_err(|error| format!("{name}: {error}"))
+fn parse<'a, T: Deserialize<'a>>(name: &str, spec: &'a RawValue) -> Result<T, String> {
+    serde_json::from_str(spec.get()).map_err(|error| format!("{name}: {error}"))
 }
 
 fn insert<T>(map: &mut BTreeMap<String, T>, name: String, value: T) -> Result<(), String> {
--- a/src/version.rs
+++ b/src/version.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use tokio::sync::watch;
 
-use crate::bundle::{Bundle, MAX_BUNDLE_BYTES, Version};
+use crate::bundle::{Intake, MAX_BUNDLE_BYTES, Version};
 use crate::dialect::Dialect;
 use crate::error::{Error, Result};
 use crate::link::Packed;
@@ -18,12 +18,17 @@
 pub(crate) struct InForce {
     /// Its number.
     pub version: Version,
-    /// Its content.
-    pub bundle: Bundle,
+    /// Bounds on what callers may send.
+    pub intake: Intake,
     /// Its routes, compiled.
     pub table: Table,
-    /// Its bytes as the platform holds them.
-    pub bytes: Vec<u8>,
+}
+
+/// A version's bytes as the platform holds them.
+#[derive(Clone)]
+struct Source {
+    version: u64,
+    bytes: Bytes,
 }
 
 /// Versions that are kept to compress later ones against: those that other nodes are likely to
@@ -36,7 +41,7 @@
     in_force: Arc<ArcSwapOption<InForce>>,
     changed: watch::Sender<u64>,
     /// The latest versions, newest last.
-    recent: Mutex<VecDeque<Arc<InForce>>>,
+    recent: Mutex<VecDeque<Source>>,
 }
 
 impl Versions {
@@ -59,25 +64,25 @@
         *self.changed.borrow()
     }
 
-    fn keep(&self, in_force: Arc<InForce>) {
+    fn keep(&self, source: Source) {
         let mut recent = self.recent();
         if recent.len() == KEPT {
             recent.pop_front();
         }
-        recent.push_back(in_force);
+        recent.push_back(source);
     }
 
     /// The version in force, compressed, if it is above `version`, which the asker has.
     pub(crate) fn pack_above(&self, version: u64) -> Result<Option<Packed>> {
-        let in_force = self.in_force.load_full();
-        let Some(in_force) = in_force.filter(|in_force| in_force.version.0 > version) else {
+        let newest = self.recent().back().cloned();
+        let Some(newest) = newest.filter(|newest| newest.version > version) else {
             return Ok(None);
         };
         let base = self.find(version);
-        let bytes = compress(&in_force.bytes, base.as_ref().map(|base| &base.bytes[..]))?;
+        let bytes = compress(&newest.bytes, base.as_ref().map(|base| &base.bytes[..]))?;
         Ok(Some(Packed {
-            base: base.map_or(0, |base| base.version.0),
-            size: in_force.bytes.len(),
+            base: base.map_or(0, |base| base.version),
+            size: newest.bytes.len(),
             bytes: bytes.to_vec(),
         }))
     }
@@ -99,25 +104,22 @@
         )
     }
 
-    fn find(&self, version: u64) -> Option<Arc<InForce>> {
+    fn find(&self, version: u64) -> Option<Source> {
         let recent = self.recent();
-        recent
-            .iter()
-            .find(|kept| kept.version.0 == version)
-            .cloned()
+        recent.iter().find(|kept| kept.version == version).cloned()
     }
 
-    fn recent(&self) -> MutexGuard<'_, VecDeque<Arc<InForce>>> {
+    fn recent(&self) -> MutexGuard<'_, VecDeque<Source>> {
         self.recent.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Takes a version; returns whether it is in force now. One that is not higher, or not valid as
     /// a whole, changes nothing.
-    pub(crate) fn take(&self, bytes: &[u8], source: &str) -> bool {
+    pub(crate) fn take(&self, bytes: &[u8], from: &str) -> bool {
         let (version, bundle) = match self.dialect.version(bytes) {
             Ok(read) => read,
             Err(fault) => {
-                log::warn!(event = "version_rejected", source = source; "{fault}");
+                log::warn!(event = "version_rejected", source = from; "{fault}");
                 return false;
             }
         };
@@ -129,17 +131,20 @@
         let routes = bundle.routes.len();
         let in_force = InForce {
             version,
-            bundle,
+            intake: bundle.intake,
             table,
-            bytes: bytes.to_vec(),
+        };
+        drop(bundle);
+        let source = Source {
+            version: version.0,
+            bytes: Bytes::copy_from_slice(bytes),
         };
         let taken = self.changed.send_if_modified(|number| {
             if version.0 <= *number {
                 return false;
             }
-            let in_force = Arc::new(in_force);
-            self.in_force.store(Some(in_force.clone()));
-            self.keep(in_force);
+            self.in_force.store(Some(Arc::new(in_force)));
+            self.keep(source);
             *number = version.0;
             true
         });
@@ -148,7 +153,7 @@
             version = version.0,
             routes = routes,
             bytes = bytes.len(),
-            source = source;
+            source = from;
             ""
         );
         taken
--- a/src/version/tests.rs
+++ b/src/version/tests.rs
@@ -29,7 +29,8 @@
     assert!(!versions.take(&cut[..cut.len() / 2], "test"));
     assert_eq!(versions.number(), 3);
     let in_force = versions.in_force().load_full().unwrap();
-    assert!(in_force.bundle.routes.contains_key("r3"));
+    let route = in_force.table.find("h", "GET", "/p/a").unwrap();
+    assert_eq!(route.name, "r3");
 }
 
 #[test]
