Seeds are dialled where they accept links

Seeds are given by where they take heartbeats; links were dialled there and failed with 'frame size too big' from an HTTP answer. Ruled out: seeds that were down: their logs show them serving. Change: the port of links. Test: a_node_that_starts_without_the_store_learns_from_a_seed, red before.

--- a/src/directory/book.rs
+++ b/src/directory/book.rs
@@ -126,6 +126,7 @@
         let record = kept.map_or_else(Record::new, |known| known.record.clone());
         let since = kept.map_or_else(Instant::now, |known| known.since);
         let distance = self.distance(&entry);
+        let near = entry.data_center == self.place.data_center;
         if !own {
             log::info!(
                 event = "entry",
@@ -145,6 +146,7 @@
             record,
             distance: distance.round_trip,
             preference: distance.preference,
+            near,
         };
         state.endpoints.insert(node, Arc::new(endpoint));
         true
--- a/src/directory/endpoint.rs
+++ b/src/directory/endpoint.rs
@@ -70,6 +70,7 @@
     pub(super) record: Arc<Record>,
     pub(super) distance: Duration,
     pub(super) preference: f64,
+    pub(super) near: bool,
 }
 
 /// A request in flight at a target; ends when dropped.
@@ -88,6 +89,11 @@
         self.entry.presence == Presence::Serving && reachable
     }
 
+    /// Whether the target is in this node's data centre.
+    pub(crate) fn is_near(&self) -> bool {
+        self.near
+    }
+
     /// Counts a request as in flight.
     pub(crate) fn begin(&self) -> InFlight {
         self.record.in_flight.fetch_add(1, Ordering::Relaxed);
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::watch;
 
@@ -42,6 +42,9 @@
 const CONSULT_PERIOD: Duration = Duration::from_millis(400);
 /// Nodes asked each time.
 const CONSULTED: usize = 2;
+/// Time for the store to bring the first version before other nodes are asked for it although the
+/// store answers: a herd of nodes that start together would overload the seeds.
+const FIRST_VERSION_GRACE: Duration = Duration::from_millis(1_500);
 
 /// Follows one table while this node is the watcher, until `stopped` closes. Goes on after every
 /// failure.
@@ -250,20 +253,22 @@
     }
 }
 
-/// Asks other nodes while the store is away, before the first version, or while some node is known
-/// to have a higher one.
+/// Asks other nodes while the store is away, while the first version does not come, or while some
+/// node is known to have a higher one.
 pub(super) async fn consult(
     seeds: Vec<Arc<crate::link::Link>>,
     hub: Arc<Hub>,
     mut stopped: watch::Receiver<()>,
 ) {
+    let started = Instant::now();
     loop {
         tokio::select! {
             () = tokio::time::sleep(CONSULT_PERIOD.mul_f64(0.75 + 0.5 * rand::random::<f64>())) => {}
             _ = stopped.changed() => return,
         }
         let away = !hub.source_reachable();
-        if !away && !hub.is_behind() && hub.versions.number() > 0 {
+        let patient = hub.versions.number() > 0 || started.elapsed() < FIRST_VERSION_GRACE;
+        if !away && !hub.is_behind() && patient {
             continue;
         }
         let links = hub.directory.links();
--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -316,14 +316,17 @@
     }
 
     fn observe(&self, node: &str, status: Status) -> Wanted {
-        if let Some(endpoint) = self.directory.find(node) {
+        let endpoint = self.directory.find(node);
+        if let Some(endpoint) = &endpoint {
             endpoint.note_load(status.load);
         }
+        let near = endpoint.is_some_and(|endpoint| endpoint.is_near());
         let own = self.versions.number();
         lock(&self.neighbours).heard(node, status.store_reachable);
         let watcher = self.watcher();
         let from_watcher = watcher.as_deref() == Some(node);
-        let eager = from_watcher || own == 0 || !self.reaches_source(watcher.as_deref());
+        let reaches_source = self.reaches_source(watcher.as_deref());
+        let eager = from_watcher || own == 0 && near || !reaches_source;
         let differs = from_watcher && status.roster != self.directory.digest();
         Wanted {
             version: lock(&self.behind).hear(status.version, own, eager),
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -11,6 +11,7 @@
 mod settings;
 mod watcher;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -152,10 +153,11 @@
         let version_table = version_key.split('/').next().unwrap_or_default();
         let take_version =
             move |hub: &Hub, changes: &[Change]| follow::take_version(hub, changes, version_key);
-        let seeds = &self.settings.seeds;
-        let seeds = seeds
-            .iter()
-            .map(|seed| Arc::new(Link::new(*seed, hub.clone())));
+        let port = hub.own().address.port();
+        let seeds = self.settings.seeds.iter().map(|seed| {
+            let mesh = SocketAddr::new(seed.ip(), port);
+            Arc::new(Link::new(mesh, hub.clone()))
+        });
         tokio::spawn(link::listen(mesh, hub.clone(), stopped.clone()));
         tokio::spawn(follow::follow(
             feed.clone(),
@@ -202,7 +204,7 @@
 
     /// Where the node takes requests of callers.
     #[must_use]
-    pub fn caller_address(&self) -> std::net::SocketAddr {
+    pub fn caller_address(&self) -> SocketAddr {
         self.caller.address()
     }
 
@@ -251,7 +253,7 @@
     }
 }
 
-fn own_entry(settings: &Settings, address: std::net::SocketAddr) -> Entry {
+fn own_entry(settings: &Settings, address: SocketAddr) -> Entry {
     let started = SystemTime::now().duration_since(UNIX_EPOCH);
     let started = started.unwrap_or_default().as_millis();
     Entry {
--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -10,8 +10,8 @@
 use crate::forward::Limits;
 use crate::platform::sample;
 use crate::sidecar::{Listen, Settings, Shutdown, Sidecar};
-use crate::standin::StoreServer;
-use crate::testing::{Act, Scripted, read_to_end, until};
+use crate::standin::{StoreFault, StoreServer};
+use crate::testing::{Act, GOOD, Scripted, read_to_end, until};
 
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 const HOST: &str = "shop.example";
@@ -58,21 +58,17 @@
     }
 }
 
-/// A node whose target announces itself, if there is one.
-fn start(name: &str, store: &StoreServer, target: &Scripted, announced: bool) -> Sidecar {
-    let node = Sidecar::start(settings(name, store, target.address)).unwrap();
-    if announced {
-        node.side.heartbeat(Heartbeat {
-            id: format!("t-{name}"),
-            started_ms: 1,
-            sequence: 1,
-            service: "booking".into(),
-            slots: 4,
-            phase: Phase::Ready,
-            cold: Duration::ZERO,
-        });
-    }
-    node
+/// Takes a heartbeat of the target beside the node.
+fn announce(node: &Sidecar) {
+    node.side.heartbeat(Heartbeat {
+        id: format!("t-{}", node.settings.node),
+        started_ms: 1,
+        sequence: 1,
+        service: "booking".into(),
+        slots: 4,
+        phase: Phase::Ready,
+        cold: Duration::ZERO,
+    });
 }
 
 /// Sends a request that may take `patience_ms`, and reads until the connection ends.
@@ -85,12 +81,38 @@
     read_to_end(&mut stream).await
 }
 
+#[tokio::test]
+async fn a_node_that_starts_without_the_store_learns_from_a_seed() {
+    let store = store().await;
+    let target = Scripted::start(&[Act::Answer(GOOD)]).await;
+    let mut first = settings("first", &store, target.address);
+    first.listen.mesh = "127.0.0.2:0".parse().unwrap();
+    let first = Sidecar::start(first).unwrap();
+    announce(&first);
+    until("started", || first.version() == 1).await;
+    store.set_fault(Some(StoreFault::Busy));
+    let mut second = settings("second", &store, target.address);
+    second.listen.mesh = SocketAddr::from(([127, 0, 0, 3], first.hub.own().address.port()));
+    // Where the seed takes heartbeats.
+    second.seeds = vec!["127.0.0.2:9".parse().unwrap()];
+    let second = Sidecar::start(second).unwrap();
+    until("version known", || second.version() == 1).await;
+    until("target known", || {
+        let found = second.hub.directory.find("first");
+        found.is_some_and(|first| first.is_serving())
+    })
+    .await;
+    let answer = send(second.caller_address(), 1_000).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
 #[tokio::test]
 async fn a_stopping_node_cuts_off_nothing_that_it_has_taken() {
     let store = store().await;
     let target = Scripted::start(&[Act::Silent]).await;
-    let other = start("other", &store, &target, true);
-    let node = start("node", &store, &target, false);
+    let other = Sidecar::start(settings("other", &store, target.address)).unwrap();
+    announce(&other);
+    let node = Sidecar::start(settings("node", &store, target.address)).unwrap();
     let known = |node: &Sidecar| {
         let found = node.hub.directory.find("other");
         node.version() == 1 && found.is_some_and(|other| other.is_serving())
