A node ends where another node has its address

VMs that are gone are replaced by others at their addresses; the entry of the former node stayed, the node now there answered for another service, and a target without load in the own data centre was tried first by every request. Change: of two nodes at one address the one that started later holds, on every node; a node that finds a higher incarnation at its own address raises its own; the watcher of the data centre deletes the row of the former node. Tests: a_node_ends_where_another_one_has_its_address, a_node_that_started_before_the_one_at_its_ address_is_not_believed, both red before.

--- a/src/directory/book.rs
+++ b/src/directory/book.rs
@@ -56,6 +56,51 @@
     links: HashMap<std::net::SocketAddr, Arc<Link>>,
     /// Incarnations that ended, by node.
     departed: HashMap<String, (u64, Instant)>,
+    /// Nodes of this data centre whose addresses other nodes have now, and whose rows may still be in
+    /// the store.
+    replaced: Vec<String>,
+}
+
+impl State {
+    /// Ends the nodes that were at the address of `entry` before: platforms give addresses of VMs
+    /// that are gone to others. Returns `false` if a node that started later is there, or the node
+    /// itself.
+    fn take_over_address(&mut self, entry: &Entry, place: &Place) -> bool {
+        let others = self
+            .endpoints
+            .values()
+            .map(|known| &known.entry)
+            .filter(|known| known.address == entry.address && known.node != entry.node);
+        let others: Vec<Entry> = others.cloned().collect();
+        let keeps =
+            |known: &Entry| known.node == place.node || known.incarnation > entry.incarnation;
+        if others.iter().any(keeps) {
+            return false;
+        }
+        for known in others {
+            log::info!(
+                event = "node_replaced",
+                node = known.node.as_str(),
+                incarnation = known.incarnation,
+                by = entry.node.as_str();
+                "another node is at its address"
+            );
+            self.end(&known.node, known.incarnation);
+            if known.data_center == place.data_center {
+                self.replaced.push(known.node);
+            }
+        }
+        true
+    }
+
+    /// Forgets a node, and remembers that its process has ended.
+    fn end(&mut self, node: &str, incarnation: u64) {
+        self.endpoints.remove(node);
+        self.departed
+            .retain(|_, (_, since)| since.elapsed() < DEPARTED_TERM);
+        let ended = (incarnation, Instant::now());
+        self.departed.insert(node.to_owned(), ended);
+    }
 }
 
 type ByService = HashMap<String, Vec<Arc<Endpoint>>>;
@@ -112,6 +157,9 @@
         if known.is_some_and(|known| !entry.is_newer_than(&known.entry)) {
             return false;
         }
+        if !state.take_over_address(&entry, &self.place) {
+            return false;
+        }
         let own = entry.node == self.place.node;
         let link = (!own).then(|| {
             let link = state.links.entry(entry.address);
@@ -159,18 +207,18 @@
         if known.is_none_or(|known| known.entry.incarnation > incarnation) {
             return;
         }
-        state.endpoints.remove(node);
-        state
-            .departed
-            .retain(|_, (_, since)| since.elapsed() < DEPARTED_TERM);
-        let ended = (incarnation, Instant::now());
-        state.departed.insert(node.to_owned(), ended);
+        state.end(node, incarnation);
         let addresses: Vec<_> = state.endpoints.values().map(|e| e.entry.address).collect();
         state.links.retain(|address, _| addresses.contains(address));
         self.publish(&state);
         log::info!(event = "node_forgotten", node = node, incarnation = incarnation; "");
     }
 
+    /// Nodes of this data centre whose addresses other nodes have taken since the last question.
+    pub(crate) fn take_replaced(&self) -> Vec<String> {
+        std::mem::take(&mut self.lock().replaced)
+    }
+
     /// All entries.
     pub(crate) fn entries(&self) -> Vec<Entry> {
         let state = self.lock();
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -146,3 +146,30 @@
     let later = directory.find("near").unwrap().cost(USUAL, OBJECTIVE);
     assert!(later < slow.mul_f64(0.85), "{later:?} after {slow:?}");
 }
+
+/// An entry of `node` at the address of the node `near`.
+fn at_near(node: &str, incarnation: u64) -> Entry {
+    Entry {
+        address: testing::entry("near", "bkk", "bkk-a", 1).address,
+        ..entry(node, "bkk", "bkk-a", incarnation, 0)
+    }
+}
+
+#[tokio::test]
+async fn a_node_ends_where_another_one_has_its_address() {
+    let directory = three();
+    directory.learn(vec![at_near("new", 2)]);
+    assert_eq!(ranked(&directory, &[]), ["new", "region", "far"]);
+    // What is still said of the former node comes too late.
+    directory.learn(vec![entry("near", "bkk", "bkk-a", 1, 5)]);
+    assert_eq!(ranked(&directory, &[]), ["new", "region", "far"]);
+    assert_eq!(directory.take_replaced(), ["near"]);
+    assert!(directory.take_replaced().is_empty());
+}
+
+#[tokio::test]
+async fn a_node_that_started_before_the_one_at_its_address_is_not_believed() {
+    let directory = three();
+    directory.learn(vec![at_near("old", 0)]);
+    assert_eq!(ranked(&directory, &[]), ["near", "region", "far"]);
+}
--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -238,7 +238,7 @@
     }
 }
 
-/// Deletes the entries of neighbours that are lost, while this node is the watcher, until `stopped`
+/// Deletes the entries of nodes that are lost, while this node is the watcher, until `stopped`
 /// closes.
 pub(super) async fn sweep(table: Arc<dyn Table>, hub: Arc<Hub>, mut stopped: watch::Receiver<()>) {
     loop {
@@ -246,7 +246,7 @@
             () = tokio::time::sleep(SWEEP_PERIOD) => {}
             _ = stopped.changed() => return,
         }
-        for node in hub.lost_neighbours() {
+        for node in hub.lost_nodes() {
             log::info!(event = "node_lost", node = node.as_str(); "its entry is deleted");
             withdraw(table.as_ref(), &node).await;
         }
--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -107,8 +107,8 @@
         self.supersede(entry);
     }
 
-    /// Raises the own entry above one that claims to be newer: an earlier process of this node, whose
-    /// clock was ahead.
+    /// Raises the own entry above one that claims to be newer: of an earlier process of this node, or
+    /// of the node that had this address before, whose clock was ahead.
     fn supersede(&self, claimed: &Entry) {
         let entry = {
             let mut own = lock(&self.own);
@@ -133,6 +133,9 @@
         for entry in &mine {
             self.reconcile_own(entry);
         }
+        for earlier in others.iter().filter(|other| other.address == own.address) {
+            self.supersede(earlier);
+        }
         self.directory.learn(others);
     }
 
@@ -221,14 +224,14 @@
         }
     }
 
-    /// Neighbours that could not be reached for long, if this node is the watcher. Asks all others
-    /// for a sign of life.
-    pub(crate) fn lost_neighbours(&self) -> Vec<String> {
+    /// Neighbours that could not be reached for long and nodes whose addresses others have now, if
+    /// this node is the watcher. Asks all other neighbours for a sign of life.
+    pub(crate) fn lost_nodes(&self) -> Vec<String> {
+        let mut lost = self.directory.take_replaced();
         if !self.is_watcher() {
             return Vec::new();
         }
         let (ranked, _) = self.ranked();
-        let mut lost = Vec::new();
         for node in ranked {
             let Some(link) = self.directory.find(&node).and_then(|e| e.link.clone()) else {
                 continue;
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -10,6 +10,7 @@
 use hyper::header::HeaderMap;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::h1::{Request, Response, Stream};
 use crate::link::{Entry, Hello, Offer, Packed, Service, Status, Target, Update, Wanted};
@@ -161,11 +162,15 @@
 
 /// The entry of a node whose target serves `booking`.
 pub(crate) fn entry(node: &str, region: &str, center: &str, incarnation: u64) -> Entry {
+    let [_, a, b, c] = xxh3_64(node.as_bytes()).to_le_bytes()[..4] else {
+        unreachable!("four bytes were taken");
+    };
+    let address = [127, a, b, c];
     Entry {
         node: node.into(),
         incarnation,
         revision: 0,
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        address: SocketAddr::from((address, 9)),
         region: region.into(),
         data_center: center.into(),
         presence: Presence::Serving,
