No request waits for a connection to an unreachable peer

A peer that could not be reached counted as reachable again after 500 ms, and the next request of each node waited for the connection. Ruled out: the first failure, which is noticed by pings and the time to connect. Change: it stays unreachable until a connection stands; the link itself tries again, twice in a second at most, while the target is wanted. Test: an_unreachable_node_is_tried_again_without_a_request, red before.

--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -28,7 +28,7 @@
 const WATCH_PERIOD: Duration = Duration::from_millis(100);
 /// Pause between attempts to reach a peer that owes answers.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
-/// Pause in which nothing new is offered to a peer that could not be reached.
+/// Pause before a peer that could not be reached is tried again for requests that would go there.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(500);
 /// Time after which the kernel gives up a connection whose peer acknowledges nothing.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -48,6 +48,8 @@
 #[derive(Default)]
 struct Shared {
     unreachable: AtomicBool,
+    /// Whether the peer was asked for since it could not be reached.
+    wanted: AtomicBool,
     /// Since when every attempt to connect has failed.
     failing_since: Mutex<Option<Instant>>,
     round_trip_us: AtomicU32,
@@ -144,9 +146,14 @@
         let _ = self.commands.send(Command::Send(Frame::Ping));
     }
 
-    /// Whether the peer could not be reached a moment ago.
+    /// Whether the peer could not be reached when it was last tried. Asking has it tried again after
+    /// a while, so that no request has to wait for that.
     pub(crate) fn is_unreachable(&self) -> bool {
-        self.shared.unreachable.load(Ordering::Relaxed)
+        let unreachable = self.shared.unreachable.load(Ordering::Relaxed);
+        if unreachable {
+            self.shared.wanted.store(true, Ordering::Relaxed);
+        }
+        unreachable
     }
 
     /// Time for which every attempt to reach the peer has failed.
@@ -170,6 +177,9 @@
     incarnation: u64,
 }
 
+/// The link is no longer used.
+struct Closed;
+
 struct Peer {
     address: SocketAddr,
     service: Arc<dyn Service>,
@@ -192,15 +202,18 @@
     async fn run(mut self) {
         let mut first = None;
         loop {
-            if self.pending.is_empty() && first.is_none() {
-                first = self.queue.recv().await;
-                if first.is_none() {
-                    return;
+            let wanted = self.shared.wanted.swap(false, Ordering::Relaxed);
+            if self.pending.is_empty() && first.is_none() && !wanted {
+                match self.next_command().await {
+                    Ok(command) => first = command,
+                    Err(Closed) => return,
                 }
+                continue;
             }
             match self.connect().await {
                 Ok(session) => {
                     self.shared.unreachable.store(false, Ordering::Relaxed);
+                    self.shared.wanted.store(false, Ordering::Relaxed);
                     self.shared.note_failing(false);
                     let ended = self.serve(session, first.take()).await;
                     if ended {
@@ -212,6 +225,20 @@
         }
     }
 
+    /// The next command; none where an unreachable peer is to be tried again if it is wanted.
+    async fn next_command(&mut self) -> Result<Option<Command>, Closed> {
+        let command = self.queue.recv();
+        let command = if self.shared.unreachable.load(Ordering::Relaxed) {
+            match tokio::time::timeout(UNREACHABLE_PAUSE, command).await {
+                Ok(command) => command,
+                Err(_) => return Ok(None),
+            }
+        } else {
+            command.await
+        };
+        command.map(Some).ok_or(Closed)
+    }
+
     async fn connect(&self) -> io::Result<Session> {
         let began = Instant::now();
         let timeout = CONNECT_TIMEOUT;
@@ -385,9 +412,6 @@
                 refuse(command);
             }
         }
-        self.shared
-            .unreachable
-            .store(!self.pending.is_empty(), Ordering::Relaxed);
     }
 
     /// Ends what cannot or need not wait for the peer. A process that is gone answers nothing.
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -351,3 +351,21 @@
     assert_eq!(*own.learned.lock().unwrap(), ["n"]);
     until("known", || *node.learned.lock().unwrap() == ["caller"]).await;
 }
+
+#[tokio::test]
+async fn an_unreachable_node_is_tried_again_without_a_request() {
+    let node = Node::new("n", 1, Duration::ZERO);
+    let (address, _running) = serve(&node).await;
+    let (relay, address) = Relay::start(address).await;
+    relay.silent.store(true, Ordering::Relaxed);
+    let link = Link::new(address, caller());
+    let refused = link.offer(offer(false)).reply().await;
+    assert_eq!(verdict(&refused), UNREACHABLE);
+    for _ in 0..20 {
+        assert!(link.is_unreachable());
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    relay.silent.store(false, Ordering::Relaxed);
+    until("reachable", || !link.is_unreachable()).await;
+    assert_eq!(verdict(&link.offer(offer(false)).reply().await), None);
+}
