--- a/src/target/side.rs
+++ b/src/target/side.rs
@@ -299,6 +299,8 @@
         match outcome {
             Err(_) => {
                 run.end(Some(true));
+                // Something between the ends may have lost track of the open connections.
+                self.connections.clear();
                 Err(Refusal::may_have_run(Reason::Deadline))
             }
             Ok(Ok(response)) => self.judge(&offer.request_id, offer.fingerprint, run, response),
--- a/src/target/tests/side.rs
+++ b/src/target/tests/side.rs
@@ -267,3 +267,25 @@
     assert_eq!(finding.unwrap().unwrap(), Finding::Crashed(vec![7]));
     assert_eq!(bench.1.watch().borrow().0, Presence::Down);
 }
+
+#[tokio::test]
+async fn after_a_time_out_requests_go_over_new_connections() {
+    let soon = Duration::from_millis(100);
+    let script = [
+        Act::Late(soon, GOOD),
+        Act::Late(soon, GOOD),
+        Act::Silent,
+        Act::Answer(GOOD),
+    ];
+    let bench = bench(&script).await;
+    let both = tokio::join!(run(&bench.side, false), run(&bench.side, false));
+    assert!(both.0.is_ok() && both.1.is_ok());
+    assert_eq!(bench.target.connections(), 2);
+    let silent = bench
+        .side
+        .run(offer(false, Duration::from_millis(300)))
+        .await;
+    assert_eq!(silent.unwrap_err().reason, Reason::Deadline);
+    assert!(run(&bench.side, false).await.is_ok());
+    assert_eq!(bench.target.connections(), 3);
+}
