One follower asks a store that is away, and lower ranks ask less often

Without a node that hears the store every node is its own watcher, and each asked for two tables. Change: only the follower of versions asks while the store is away; the pause grows with the rank to 1.6 s at most, so that the first in rank notices the return. Test: a_store_that_is_away_is_asked_by_one_follower, red before (8 calls for 5).

--- a/src/sidecar/follow.rs
+++ b/src/sidecar/follow.rs
@@ -22,22 +22,28 @@
     wait: Duration,
     /// Pause after changes, so that a quick series is read as one.
     pause: Duration,
+    /// Whether this table is asked for while the store is away, to notice its return.
+    probes: bool,
 }
 
 /// For the operators' versions, which have to be in force soon.
 pub(super) const VERSIONS: Pace = Pace {
     wait: Duration::from_millis(700),
     pause: Duration::from_millis(150),
+    probes: true,
 };
 /// For the nodes' entries: a node that leaves refuses work by itself, and neighbours are told.
 pub(super) const ENTRIES: Pace = Pace {
     wait: Duration::from_secs(5),
     pause: Duration::from_secs(1),
+    probes: false,
 };
 /// How often a node looks whether it has become the watcher.
 const ROLE_PERIOD: Duration = Duration::from_millis(100);
 /// Pauses after failures, doubled each time up to the last.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(800));
+/// Longest pause of a follower, below the time in which entries have to be back after an outage.
+const MAX_FOLLOW_PAUSE: Duration = Duration::from_millis(1_600);
 /// How often other nodes are asked while the store is away or some node has a higher version.
 const CONSULT_PERIOD: Duration = Duration::from_millis(400);
 /// Nodes asked each time.
@@ -59,7 +65,8 @@
     let mut pause = RETRY_PAUSE.0;
     let mut position = None;
     loop {
-        if !hub.is_watcher() {
+        let away = !hub.store_answers.load(Ordering::Relaxed);
+        if !hub.is_watcher() || away && !pace.probes {
             position = None;
             tokio::select! {
                 () = tokio::time::sleep(ROLE_PERIOD) => continue,
@@ -81,12 +88,19 @@
             Err(error) => {
                 note_store(&hub, Some(&error));
                 tokio::time::sleep(pause.mul_f64(0.75 + 0.5 * rand::random::<f64>())).await;
-                pause = (pause * 2).min(RETRY_PAUSE.1);
+                pause = (pause * 2).min(max_pause(hub.rank()));
             }
         }
     }
 }
 
+/// Longest pause before the node at `rank` asks a store again that is away. Every node of a data
+/// centre asks then; the first in rank notices its return soonest and becomes the watcher.
+fn max_pause(rank: usize) -> Duration {
+    let factor = u32::try_from(rank).unwrap_or(u32::MAX).saturating_add(1);
+    RETRY_PAUSE.1.saturating_mul(factor).min(MAX_FOLLOW_PAUSE)
+}
+
 /// Reads a snapshot, or the changes after a position; returns the next position.
 async fn step(
     feed: &dyn Feed,
--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -206,6 +206,13 @@
         (watcher::rank(names), neighbours)
     }
 
+    /// Place of this node in the order in which nodes become the watcher, from 0.
+    pub(crate) fn rank(&self) -> usize {
+        let own = self.own().node;
+        let (ranked, _) = self.ranked();
+        ranked.iter().position(|node| *node == own).unwrap_or(0)
+    }
+
     /// Asks the nodes that rank above this one for signs of life.
     pub(crate) fn ping_neighbours(&self) {
         let (ranked, incarnations) = self.ranked();
--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -1,6 +1,7 @@
 //! Whole nodes against a stand-in of the store and scripted targets.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::io::AsyncWriteExt;
@@ -106,6 +107,30 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
 
+#[tokio::test]
+async fn a_store_that_is_away_is_asked_by_one_follower() {
+    let store = store().await;
+    let target = Scripted::start(&[Act::Answer(GOOD)]).await;
+    let node = Sidecar::start(settings("node", &store, target.address)).unwrap();
+    until("started", || node.version() == 1).await;
+    store.set_fault(Some(StoreFault::Busy));
+    until("noticed", || {
+        !node.hub.store_answers.load(Ordering::Relaxed)
+    })
+    .await;
+    // Long polls that were under way have ended.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = store.calls();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    // At least 0.6 s between two calls of a follower.
+    assert!(store.calls() - before <= 5, "{}", store.calls() - before);
+    store.set_fault(None);
+    until("regained", || {
+        node.hub.store_answers.load(Ordering::Relaxed)
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_stopping_node_cuts_off_nothing_that_it_has_taken() {
     let store = store().await;
