A silent store is noticed sooner, and neighbours are asked for versions sooner

The watcher of its data centre was cut off from the store silently; its poll waited 0.7 s and then 1.5 s for an answer (store_lost at 4.29 s, version 5 accepted at 3.22 s), the next watcher was cut off too, and neighbours waited 0.7 s more before they asked a node that already had the version. Change: a poll ends 0.6 s after its wait; a near node with a higher version is asked after 0.15 s. Tests: a_poll_that_gets_no_answer_ends_soon_after_its_wait, red before; a_version_is_asked_for_once_it_has_been_lacking_for_a_while.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -20,6 +20,9 @@
 /// Time for an answer. The store answers in a few milliseconds, and in some hundred when it is
 /// slow.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for the answer of a long poll beyond its wait: twice what the store takes when it is slow.
+/// Until it ends, a connection that has gone silent holds versions up for a whole data centre.
+const POLL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Rows in one answer at most, by the platform's contract.
 const PAGE_ROWS: usize = 500;
 /// Bytes of one answer at most: a page of rows is bounded by 1 MB of values, more as base64.
@@ -207,7 +210,7 @@
         let wait_ms = wait.as_millis();
         let path = format!("/rows-feed?Table={table}&after={after}&WaitMs={wait_ms}");
         let (status, bytes) = self
-            .call(Method::GET, &path, Bytes::new(), wait + ANSWER_TIMEOUT)
+            .call(Method::GET, &path, Bytes::new(), wait + POLL_TIMEOUT)
             .await?;
         match status {
             StatusCode::OK => {}
--- a/src/platform/tests/store.rs
+++ b/src/platform/tests/store.rs
@@ -91,3 +91,14 @@
         assert!(store.get("t/a").await.is_ok(), "after {fault:?}");
     }
 }
+
+#[tokio::test]
+async fn a_poll_that_gets_no_answer_ends_soon_after_its_wait() {
+    let (server, store) = start().await;
+    server.set_fault(Some(StoreFault::Silent));
+    let wait = Duration::from_millis(100);
+    let began = std::time::Instant::now();
+    assert!(store.changes("t", 0, wait).await.is_err());
+    // A version has to be in force 2.5 s after its acceptance: a second is left to take over.
+    assert!(began.elapsed() < wait + Duration::from_secs(1));
+}
--- a/src/sidecar/behind.rs
+++ b/src/sidecar/behind.rs
@@ -2,9 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-/// Time for the store's feed to bring a version that another node already has, before that node is
-/// asked for it: about twice what the feed usually takes.
-const FEED_GRACE: Duration = Duration::from_millis(700);
+/// Time for the store's feed to bring a version that a node of another data centre already has,
+/// before that node is asked for it: about twice what the feed usually takes.
+pub(super) const FEED_GRACE: Duration = Duration::from_millis(700);
+/// Time for the watcher to pass a version on that a neighbour already has, before that neighbour is
+/// asked for it.
+pub(super) const WATCHER_GRACE: Duration = Duration::from_millis(150);
 /// Pause between questions for a version, so that not every message of a newer peer asks.
 const ASK_PAUSE: Duration = Duration::from_millis(300);
 
@@ -24,9 +27,9 @@
         self.highest
     }
 
-    /// Takes the version of another node; returns whether to ask that node for it. The store's feed
-    /// and the watcher come first, unless `eager`.
-    pub(super) fn hear(&mut self, version: u64, own: u64, eager: bool) -> bool {
+    /// Takes the version of another node; returns whether to ask that node for it, which is once
+    /// the version has been lacking for `grace`.
+    pub(super) fn hear(&mut self, version: u64, own: u64, grace: Duration) -> bool {
         self.highest = self.highest.max(version);
         if own >= self.highest {
             self.since = None;
@@ -36,10 +39,13 @@
         }
         let since = *self.since.get_or_insert_with(Instant::now);
         let lately = self.asked.is_some_and(|at| at.elapsed() < ASK_PAUSE);
-        if lately || !eager && since.elapsed() < FEED_GRACE {
+        if lately || since.elapsed() < grace {
             return false;
         }
         self.asked = Some(Instant::now());
         true
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -11,7 +11,7 @@
 use crate::h1::Response;
 use crate::link::{Entry, Hello, Offer, Packed, Service, Status, Target, Update, Wanted};
 use crate::roster::{Crash, Presence, Suspicions};
-use crate::sidecar::behind::Behind;
+use crate::sidecar::behind::{self, Behind};
 use crate::sidecar::watcher::{self, Neighbours};
 use crate::target::Side;
 use crate::verdict::Refusal;
@@ -336,10 +336,16 @@
         let watcher = self.watcher();
         let from_watcher = watcher.as_deref() == Some(node);
         let reaches_source = self.reaches_source(watcher.as_deref());
-        let eager = from_watcher || own == 0 && near || !reaches_source;
+        let grace = if from_watcher || own == 0 && near || !reaches_source {
+            Duration::ZERO
+        } else if near {
+            behind::WATCHER_GRACE
+        } else {
+            behind::FEED_GRACE
+        };
         let differs = from_watcher && status.roster != self.directory.digest();
         Wanted {
-            version: lock(&self.behind).hear(status.version, own, eager),
+            version: lock(&self.behind).hear(status.version, own, grace),
             roster: self.wants_roster(differs),
         }
     }
