Correct comments of the target and forwarding modules

Some comments did not match the code: a hedge looks at the best other target only, the longest idle time of a connection also applies if the target announces a longer one, and the wait in the queue is bounded by max_wait. The head of the guard module says what each guard does.

--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -349,7 +349,8 @@
     }
 
     /// Chooses the second target of a hedge and withdraws the hedge from the retry budget. Returns
-    /// `None` if there is no target with spare slots or the route or the budget don't allow it.
+    /// `None` if the best other target has no spare slots, or the route or the budget don't allow
+    /// the hedge.
     fn hedge_target(
         &self,
         call: &Call,
--- a/src/target/connection.rs
+++ b/src/target/connection.rs
@@ -12,8 +12,8 @@
 /// Timeout for opening a connection to the target, which is on the same VM; several times what it
 /// takes at a busy target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Idle time after which a connection is not reused if the target announces no idle timeout: half
-/// of the shortest idle timeout that targets are known to have.
+/// Idle time after which a connection is not reused, even if the target announces a longer idle
+/// timeout: half of the shortest idle timeout that targets are known to have.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
 /// Idle time after which a connection is not reused for a request that must not be repeated: the
 /// target could close the idle connection as the request is sent, and the request would be lost.
--- a/src/target/guard.rs
+++ b/src/target/guard.rs
@@ -1,4 +1,5 @@
-//! Guards that a request holds while it is at the target; dropping them undoes the count.
+//! Guards that a request holds while it waits for the target or runs there: one counts the request,
+//! the other measures its run. Dropping them ends both.
 
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
--- a/src/target/limiter.rs
+++ b/src/target/limiter.rs
@@ -13,7 +13,7 @@
 
 use crate::verdict::{Reason, Refusal};
 
-/// Most requests in the queue. Bounds the memory only; the wait is bounded by the callers' limits.
+/// Most requests in the queue. Bounds the memory only; `max_wait` bounds the wait of each request.
 const MAX_QUEUED: usize = 512;
 
 /// A request that can no longer meet its objective is refused unless what is left of its `max_wait`
