Clarify comments and a log message of the sidecar

- The longest pauses after failed reads and writes were described alike; the comments tell them apart, and MAX_FOLLOW_PAUSE becomes MAX_READ_RETRY_PAUSE.
'Follower' named the tasks that read the store, but usually means a node that is not the leader.
- The documentation of the seeds says when they are queried and which port is used.
- Comments on entries of earlier processes of a node say what follows from them.
- The message of withdraw_failed names the node.
- The test of an unreachable store says which failure it guards against.

--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -21,7 +21,7 @@
 /// updates may still be in transit.
 const ROSTER_GRACE: Duration = Duration::from_millis(700);
 
-/// The state of this node that its links, store followers and listeners share.
+/// The state of this node that its links, background tasks and listeners share.
 pub(crate) struct Hub {
     pub directory: Arc<Directory>,
     pub runner: Arc<Runner>,
@@ -100,8 +100,8 @@
         self.announcement_due.notify_one();
     }
 
-    /// Handles an entry of this node that came from elsewhere. One of an earlier process supplies
-    /// the target's identity.
+    /// Handles an entry of this node that came from elsewhere. One of an earlier process shows
+    /// which heartbeats of the target are outdated.
     fn reconcile_own(&self, entry: &Entry) {
         if entry.incarnation < self.own_entry().incarnation
             && let Some(target) = &entry.target
@@ -111,9 +111,9 @@
         self.raise_incarnation_above(entry);
     }
 
-    /// Raises the own incarnation above that of a conflicting entry if that entry is newer: one of
-    /// an earlier process of this node, or of the node that had this address before, whose clock
-    /// was ahead.
+    /// Raises the own incarnation above that of a conflicting entry if that entry is newer. It is
+    /// newer if it was written while the clock was ahead, by an earlier process of this node or by
+    /// the node that had this address before.
     fn raise_incarnation_above(&self, conflicting: &Entry) {
         let entry = {
             let mut own = lock(&self.own_entry);
@@ -212,7 +212,8 @@
         other_node_is_watcher || self.store_reachable.load(Ordering::Relaxed)
     }
 
-    /// Names of the nodes of this data centre by rank, and their names with incarnations.
+    /// Names of the nodes of this data centre by rank, this node included, and their names with
+    /// incarnations.
     fn ranked_neighbours(&self) -> (Vec<String>, Vec<(String, u64)>) {
         let neighbours = self.directory.neighbours();
         let names = neighbours.iter().map(|(node, _)| node.clone()).collect();
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -1,4 +1,5 @@
-//! A node for a platform that distributes versions and whose targets send heartbeats.
+//! A node for a platform that distributes versions of the configuration and whose targets send
+//! heartbeats.
 //!
 //! Compared with [`crate::Node`], which distributes signed bundles itself, a sidecar uses each
 //! version as the platform stores it, and needs no registrars, leases or claims.
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -29,8 +29,9 @@
     pub platform: SocketAddr,
     /// Address of the target beside the node.
     pub target: SocketAddr,
-    /// Heartbeat addresses of nodes to query while the store is unreachable. Links to them use the
-    /// same port as this node's.
+    /// Heartbeat addresses of nodes to query while few nodes are known and the store is unreachable
+    /// or has not delivered a version in time. Links to them use their IP addresses with the port
+    /// that this node announces for its own links.
     pub seeds: Vec<SocketAddr>,
     /// Timing of the shutdown.
     pub shutdown: Shutdown,
--- a/src/sidecar/tasks.rs
+++ b/src/sidecar/tasks.rs
@@ -28,7 +28,8 @@
     polls_during_outage: bool,
 }
 
-/// Polling of the operators' versions, which have to be in force soon.
+/// Polling of the versions of the configuration, which have to be in force soon after an operator
+/// has written them.
 pub(super) const VERSION_POLLING: Polling = Polling {
     long_poll: Duration::from_millis(700),
     pause: Duration::from_millis(150),
@@ -45,18 +46,19 @@
 const ROLE_CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// First pause after a failure; doubled with each further failure.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// Longest pause after a failure.
+/// Longest pause after a failed write, and after a failed read by the first node in rank. Nodes
+/// further down in rank pause longer after a failed read.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
-/// Longest pause of a follower of any rank; shorter than the time in which entries have to be up to
-/// date again after an outage.
-const MAX_FOLLOW_PAUSE: Duration = Duration::from_millis(1_600);
+/// Longest pause after a failed read by a node of any rank; shorter than the time in which entries
+/// have to be up to date again after an outage.
+const MAX_READ_RETRY_PAUSE: Duration = Duration::from_millis(1_600);
 /// Interval at which other nodes are queried while the store is unreachable or some node has a
 /// higher version.
 const QUERY_PERIOD: Duration = Duration::from_millis(400);
 /// Number of nodes queried each time.
 const PEERS_PER_QUERY: usize = 2;
 /// Time for the store to deliver the first version before other nodes are queried for it although
-/// the store answers: many nodes that start together would overload the seeds.
+/// the store answers. Without it, many nodes that start together would overload the seeds.
 const FIRST_VERSION_GRACE: Duration = Duration::from_millis(1_500);
 
 /// Reads one table while this node is the watcher, and passes its rows and changes to `apply`,
@@ -105,7 +107,9 @@
 /// centre calls it then; the first in rank notices its return soonest and becomes the watcher.
 fn max_pause(rank: usize) -> Duration {
     let factor = u32::try_from(rank).unwrap_or(u32::MAX).saturating_add(1);
-    MAX_RETRY_PAUSE.saturating_mul(factor).min(MAX_FOLLOW_PAUSE)
+    MAX_RETRY_PAUSE
+        .saturating_mul(factor)
+        .min(MAX_READ_RETRY_PAUSE)
 }
 
 /// Reads a snapshot, or the changes after a position; returns the next position, or `None` if the
@@ -155,7 +159,8 @@
     }
 }
 
-/// Applies changes of the operators' table, and sends a new version to the neighbours.
+/// Applies changes of the table that holds the configuration, and sends a new version to the
+/// neighbours.
 pub(super) fn apply_version_changes(hub: &Hub, changes: &[Change], key: &str) {
     let previous = hub.versions.number();
     for change in changes {
@@ -267,7 +272,10 @@
 pub(super) async fn withdraw(table: &dyn Table, node: &str) {
     let transaction = Transaction::default().delete(&entry_key(node));
     if let Err(error) = table.transact(&transaction).await {
-        log::info!(event = "withdraw_failed"; "entry not deleted from the store: {error}");
+        log::info!(
+            event = "withdraw_failed";
+            "entry of node '{node}' not deleted from the store: {error}"
+        );
     }
 }
 
--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -112,6 +112,8 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
 
+/// If the tasks that read versions and entries both polled during an outage, the node would call
+/// the store twice as often.
 #[tokio::test]
 async fn an_unreachable_store_is_polled_by_one_follower_only() {
     let store = store().await;
@@ -127,7 +129,7 @@
     tokio::time::sleep(Duration::from_secs(1)).await;
     let before = store.calls();
     tokio::time::sleep(Duration::from_secs(3)).await;
-    // A follower waits at least 0.6 s between two calls.
+    // The only task that still polls waits at least 0.6 s between two calls.
     assert!(store.calls() - before <= 5, "{}", store.calls() - before);
     store.set_fault(None);
     until("store reachable again", || {
