Rename a sidecar test after the task that polls

'Follower' usually means a node that is not the leader; here a task of one node polls the store.

rename: an_unreachable_store_is_polled_by_one_follower_only -> an_unreachable_store_is_polled_by_one_task_only

--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -115,7 +115,7 @@
 /// If the tasks that read versions and entries both polled during an outage, the node would call
 /// the store twice as often.
 #[tokio::test]
-async fn an_unreachable_store_is_polled_by_one_follower_only() {
+async fn an_unreachable_store_is_polled_by_one_task_only() {
     let store = store().await;
     let target = ScriptedTarget::start(&[Action::Answer(GOOD)]).await;
     let node = Sidecar::start(settings("node", &store, target.address)).unwrap();
