Correct names and comments of rollouts and membership

Some comments said something else than the code, or could be read two ways: the path of bundles between registrars and members, which parts of the tree contain the sender, when a member is dropped or reported, and for how long heartbeats stay fast. The comments now say what the code does; one more says why a standby does not try the lease again after a failed announcement.

The test of a missing report was named as if no report were missing. `check_signatures` also checks the size, so it is now `check_size_and_signatures`. No behaviour changes.

--- a/src/node/membership.rs
+++ b/src/node/membership.rs
@@ -126,6 +126,7 @@
         Ok(reply) => Some(reply),
         Err(error) => {
             log::debug!("announcement to the registrar failed: {error}");
+            // A standby has already tried to acquire the lease in `find_registrar`.
             if !is_standby {
                 let _ = core.lease.try_acquire().await;
             }
@@ -180,8 +181,8 @@
     }
 }
 
-/// Periodically probes the next members on the ring, and reports those that do not answer
-/// repeatedly to the registrar.
+/// Periodically probes the next members on the ring. Reports a member to the registrar after
+/// [`FAILED_PROBES_UNTIL_REPORT`] failed probes in a row.
 pub(super) async fn probe_neighbours(core: Arc<Core>, mut stopped: watch::Receiver<()>) {
     let mut failures = std::collections::HashMap::new();
     loop {
@@ -235,7 +236,7 @@
         .collect()
 }
 
-/// Reports a member that does not answer to the registrar, which probes it too.
+/// Reports to the registrar that a member does not answer this node; the registrar probes it too.
 async fn report_silence(core: &Core, member: &Member) {
     core.counters.count("silences_reported");
     let Some(known) = core.registrar() else {
--- a/src/node/registrar.rs
+++ b/src/node/registrar.rs
@@ -26,7 +26,7 @@
 const FAST_HEARTBEAT_PERIOD: Duration = Duration::from_millis(200);
 /// Time for a delivery to reach the entire data centre and for the tallies to return.
 const DELIVERY_BUDGET: Duration = Duration::from_secs(3);
-/// For how long after a new head heartbeats stay fast because of members that did not answer.
+/// Time after a new head is sent for which heartbeats stay fast while some members do not answer.
 const FAST_RETRY_TERM: Duration = Duration::from_secs(2);
 const MAX_STANDBYS: usize = 2;
 /// A member is probed once it did not announce itself for this many refresh periods.
@@ -252,7 +252,8 @@
         self.undelivered.extend(updates);
     }
 
-    /// Probes a member, and drops it from the roster if it does not answer twice.
+    /// Probes a member, a second time if it does not answer, and drops it from the roster if it
+    /// answers neither probe.
     fn probe_or_drop(&self, member: Member) {
         let core = self.core.clone();
         tokio::spawn(async move {
--- a/src/rollout/agent.rs
+++ b/src/rollout/agent.rs
@@ -197,7 +197,7 @@
     }
 
     async fn prepare(&self, release: &Release, sources: &Sources) {
-        if let Err(error) = self.check_signatures(release) {
+        if let Err(error) = self.check_size_and_signatures(release) {
             return self.store_preparation(release, Preparation::Refused(error.to_string()));
         }
         let Some(bytes) = self.fetch(release, sources).await else {
@@ -218,7 +218,7 @@
         self.store_preparation(release, preparation);
     }
 
-    fn check_signatures(&self, release: &Release) -> Result<()> {
+    fn check_size_and_signatures(&self, release: &Release) -> Result<()> {
         if release.size > bundle::MAX_BUNDLE_BYTES {
             return Err(Error::Bundle(format!(
                 "{} bytes are too many",
--- a/src/rollout/fetch.rs
+++ b/src/rollout/fetch.rs
@@ -1,7 +1,8 @@
 //! Transfer of bundles between nodes.
 //!
-//! One registrar per region reads from the object store, and the others fetch from it and further
-//! down the tree. Each transfer is a delta against a bundle that the receiver has, if possible.
+//! One registrar per region reads from the object store. The region's other registrars fetch from
+//! that one, and members fetch from the sender of a delivery, their registrar or other peers. Each
+//! transfer is a delta against a bundle that the receiver has, if possible.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/src/rollout/tests.rs
+++ b/src/rollout/tests.rs
@@ -183,7 +183,7 @@
     waits_for_a_data_center_without_report:
         [report("a", 9, ready_tally(3))],
             deadline_passed false => Decision::Wait;
-    accepts_without_a_missing_report_after_the_deadline:
+    accepts_despite_a_missing_report_after_the_deadline:
         [report("a", 9, ready_tally(3))],
             deadline_passed true => Decision::Accept;
     ignores_reports_of_an_earlier_revision:
--- a/src/rollout/tree.rs
+++ b/src/rollout/tree.rs
@@ -37,7 +37,8 @@
 
     /// Splits the span at the given member positions, which must be sorted, into at most
     /// [`FAN_OUT`] parts with about equal numbers of members. Each part begins at its first member,
-    /// so that the sender, whose position precedes all of them, is in none.
+    /// so that no part contains a sender whose position starts the span. The registrar, which sends
+    /// to the entire ring, may be in a part; senders leave it out of the members.
     pub(crate) fn split(self, positions: &[u64]) -> Vec<Self> {
         let size = positions.len().div_ceil(FAN_OUT).max(1);
         let starts: Vec<u64> = positions.chunks(size).map(|chunk| chunk[0]).collect();
