Correct comments and config errors that mislead a new reader

Some comments didn't match the code: the weight of lost requests leads to no state in which a target counts as failing, watching a version also ends after a timeout, a page of rows doesn't start at the smallest key above the last one, the platform's names do occur in stand-ins and tests, and the target's connections setting is only validated. Others used a term that the text around them doesn't define: locality tier, entry, and instance for target.

Errors on a resource of the platform's configuration now say that the name in them is that of a resource, and which part of it is invalid.

--- a/src/bin/bluebellgap/operator.rs
+++ b/src/bin/bluebellgap/operator.rs
@@ -16,7 +16,8 @@
 
 /// Interval at which a watched rollout's status is read.
 const WATCH_PERIOD: Duration = Duration::from_millis(200);
-/// Limit on watching a version that is accepted but not yet in force on all nodes.
+/// Time after which watching a version ends if it is accepted, even if nodes still lack it; counted
+/// from the start of watching.
 const CONVERGENCE_TIMEOUT: Duration = Duration::from_secs(10);
 const KEY_FILE_MODE: u32 = 0o600;
 
@@ -136,8 +137,8 @@
     Ok(())
 }
 
-/// Prints the progress of a rollout until all nodes have the version in force. Fails if the version
-/// is stopped or superseded.
+/// Prints the progress of a rollout until all nodes have the version in force, or until it is
+/// accepted and [`CONVERGENCE_TIMEOUT`] has passed. Fails if the version is stopped or superseded.
 async fn watch_rollout(
     operator: &Operator,
     version: Version,
--- a/src/directory/endpoint.rs
+++ b/src/directory/endpoint.rs
@@ -24,8 +24,8 @@
 const FULL_REPORT_TTL: Duration = Duration::from_millis(100);
 /// Time after a refusal in which the target costs one more run time, so that others are preferred.
 const REFUSAL_PENALTY_TIME: Duration = Duration::from_millis(60);
-/// Weight of the latest request in the moving average of lost requests: about four losses in a row
-/// make the target count as failing.
+/// Weight of the latest request in the moving average of lost requests: four losses in a row raise
+/// it from 0 to about 0.7, which adds about four expected latencies to the cost of the target.
 const LOSS_WEIGHT: f64 = 0.25;
 /// Share of its slots below which a target's occupancy must be for a hedged request, which may not
 /// be needed.
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -105,12 +105,12 @@
 }
 
 fn parse_spec<'a, T: Deserialize<'a>>(name: &str, spec: &'a RawValue) -> Result<T, String> {
-    serde_json::from_str(spec.get()).map_err(|error| format!("{name}: {error}"))
+    serde_json::from_str(spec.get()).map_err(|error| format!("spec of resource '{name}': {error}"))
 }
 
 fn insert_unique<T>(map: &mut BTreeMap<String, T>, name: String, value: T) -> Result<(), String> {
     if name.is_empty() || map.contains_key(&name) {
-        return Err(format!("name '{name}' is empty or defined twice"));
+        return Err(format!("resource name '{name}' is empty or defined twice"));
     }
     map.insert(name, value);
     Ok(())
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,7 +1,7 @@
 //! Adapter to the platform of the sidecar nodes: its names, message formats and HTTP calls.
 //!
-//! The adapter only translates and makes no decisions. The platform's names occur nowhere outside
-//! this module.
+//! The adapter only translates and makes no decisions. Outside this module, the platform's names
+//! occur only in stand-ins and tests.
 
 mod config;
 mod dialect;
--- a/src/platform/notice.rs
+++ b/src/platform/notice.rs
@@ -15,7 +15,7 @@
 struct HeartbeatBody {
     info: Info,
     status: Status,
-    /// Start of the instance in milliseconds since 1970.
+    /// Start of the target in milliseconds since 1970.
     #[serde(rename = "born")]
     started_ms: u64,
 }
@@ -32,7 +32,7 @@
 struct Status {
     state: String,
     sequence: u64,
-    /// Time in seconds that is left of the cold start of the instance.
+    /// Time in seconds that is left of the cold start of the target.
     #[serde(default)]
     cold_left_s: f64,
 }
@@ -40,12 +40,12 @@
 /// Body of `DELETE /instances/ID`; targets may omit it.
 #[derive(Default, Deserialize)]
 struct DepartureBody {
-    /// Start of the instance in milliseconds since 1970.
+    /// Start of the target in milliseconds since 1970.
     #[serde(rename = "born")]
     started_ms: Option<u64>,
 }
 
-/// Parses the request with which an instance reports its state.
+/// Parses the request with which a target reports its state.
 pub(super) fn parse(method: &Method, path: &str, body: &[u8]) -> Result<Notice, String> {
     let id = path.strip_prefix(PATH_PREFIX).filter(|id| !id.is_empty());
     let id = id.ok_or("unknown path")?.to_owned();
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -94,7 +94,7 @@
                 .rows
                 .extend(page.rows.into_iter().filter(has_prefix).filter_map(decode));
             match last_key {
-                // Continues at the smallest key above the last one.
+                // `From` is inclusive, so the next page starts just above the last key.
                 Some(last) if page.has_more && last.starts_with(prefix) => {
                     from = format!("{last}\u{1}");
                 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -67,7 +67,7 @@
     pub address: SocketAddr,
     /// Number of requests that it processes concurrently.
     pub slots: u32,
-    /// Connections kept open to it; at least `slots`.
+    /// Connections to it; checked to be at least `slots`, and otherwise unused.
     pub connections: u32,
 }
 
@@ -80,7 +80,8 @@
     pub queue: usize,
     /// Upper bound of retries and hedges, in percent of recent requests.
     pub retry_percent: u32,
-    /// Share of a locality tier's targets that may be ejected at the same time, in percent.
+    /// Share of the targets in one locality tier (same data centre, same region, other regions)
+    /// that may be ejected at the same time, in percent.
     pub eject_percent: u32,
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -18,7 +18,7 @@
 /// Reply to the announcement of a member.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct AnnounceReply {
-    /// Entry of the asked node if it is the registrar, `None` otherwise.
+    /// The asked node as holder of the registrar's lease; `None` if it is not the registrar.
     pub registrar: Option<Holder>,
     /// Whether the asked node is the registrar and queued the announcement.
     pub accepted: bool,
