Correct comments of links, streams and endpoints that did not match the code

Some comments described another behaviour than the code beside them: the link's write queue drops frames when it is full rather than closing the connection, an offer carries the service selected by the split and the class of the route, an offer is cancelled whenever its outcome is no longer awaited, and the cost of a long request counts only the load of long classes. The retention of replies and the frame limit name the bounds that they rely on. Comments and the name of one local variable only; no change in behaviour.

--- a/src/h1/stream.rs
+++ b/src/h1/stream.rs
@@ -82,7 +82,8 @@
         self.fill().await.unwrap_or_default()
     }
 
-    /// Reads a request head of at most `limit` bytes; its first byte must have arrived.
+    /// Reads a request head of at most `limit` bytes. A connection that closes before the first
+    /// byte counts as cut off too; [`Self::wait_for_bytes`] reports that case as [`Fault::Closed`].
     pub(crate) async fn read_request_head(
         &mut self,
         limit: usize,
--- a/src/ingress/connection.rs
+++ b/src/ingress/connection.rs
@@ -19,7 +19,7 @@
 
 /// Requests of one connection that run concurrently; further ones are left unread.
 const MAX_PIPELINED: usize = 16;
-/// Time for which an idle connection stays open beyond the announced idle timeout, so that a
+/// Time for which an idle connection stays open beyond the configured idle timeout, so that a
 /// request which is on its way still arrives.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
 /// Time to receive what a refused caller still sends, so that its response is not lost in a reset
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -13,7 +13,8 @@
 use crate::roster::{Crash, Presence};
 use crate::verdict::Refusal;
 
-/// Largest frame; larger than the largest body that a request may have.
+/// Largest frame; must exceed the largest request body that a configuration allows
+/// (`RequestLimits::body_bytes`) and the largest response body that is read from a target.
 const MAX_FRAME_BYTES: usize = 72 * 1024 * 1024;
 
 /// Identifies one offer of one request; a random number chosen by the offering node.
@@ -115,9 +116,9 @@
 pub(crate) struct Offer {
     /// Identifies the offer.
     pub id: OfferId,
-    /// Service that the route names.
+    /// Service that the request goes to, selected by the route's traffic split.
     pub service: String,
-    /// Name of the route, for logs.
+    /// Class of the route; not read by the receiving node.
     pub route: String,
     /// Request id that the caller set.
     pub request_id: String,
@@ -280,7 +281,7 @@
     Offer(Box<Offer>),
     /// The outcome of an offer.
     Reply(OfferId, Status, Box<Reply>),
-    /// Cancels an offer, as its caller has disconnected.
+    /// Cancels an offer whose outcome the offering node no longer awaits.
     Cancel(OfferId),
     /// Asks for the outcome of an offer that was made on an earlier connection to the process with
     /// the given incarnation.
@@ -304,10 +305,10 @@
 
 impl Codec {
     pub(super) fn new() -> Self {
-        let builder = LengthDelimitedCodec::builder()
+        let codec = LengthDelimitedCodec::builder()
             .max_frame_length(MAX_FRAME_BYTES)
             .new_codec();
-        Self(builder)
+        Self(codec)
     }
 }
 
--- a/src/link/jobs.rs
+++ b/src/link/jobs.rs
@@ -12,7 +12,7 @@
 use crate::verdict::{Reason, Refusal};
 
 /// Time for which the reply to a finished offer is retained for a node that inquires about it on a
-/// new connection; longer than a link waits at most before it inquires.
+/// new connection; longer than a link takes to replace a dead connection to a reachable peer.
 const REPLY_RETENTION: Duration = Duration::from_secs(10);
 /// Limit on the total size of retained replies, so that they cannot exhaust a small VM's memory.
 const MAX_RETAINED_BYTES: usize = 4 * 1024 * 1024;
@@ -111,7 +111,8 @@
         inquirer.send(Frame::Reply(offer_id, status, Box::new(reply)));
     }
 
-    /// Cancels an offer whose caller has disconnected. One that has not arrived yet is revoked.
+    /// Cancels an offer whose outcome is no longer awaited. One that has not arrived yet is
+    /// revoked.
     pub(super) fn cancel(&self, offer_id: OfferId) {
         let mut table = self.lock();
         match table.states.get(&offer_id) {
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! A link multiplexes many requests, cancels them, and replaces a connection that no longer
 //! responds. After reconnecting it queries the peer for the outcome of every unanswered request, so
-//! that no answer is lost with a connection, and "not run" is reported only when the target's node
-//! has guaranteed it.
+//! that no answer is lost with a connection, and "not run" is reported for a request that was sent
+//! only when the target's node has guaranteed it.
 
 mod frame;
 mod jobs;
--- a/src/link/session.rs
+++ b/src/link/session.rs
@@ -9,7 +9,8 @@
 use crate::error::{Error, Result};
 use crate::link::frame::{Codec, Frame};
 
-/// Capacity of the write queue; a peer that reads too slowly loses its connection.
+/// Capacity of the write queue. If the peer reads too slowly and the queue fills up, further frames
+/// are dropped, and [`Sender::send`] returns `false`.
 const MAX_QUEUED_FRAMES: usize = 4096;
 /// Initial size of a connection's read and write buffers. Most frames fit; larger ones grow the
 /// buffers. Small because a node has many connections and little memory.
--- a/src/route/endpoint.rs
+++ b/src/route/endpoint.rs
@@ -202,8 +202,8 @@
     }
 
     /// Expected cost of one more request of `kind`: the latency in seconds, at least `floor`, times
-    /// the square of the fill of the slots that such a request may use, times the slow-start
-    /// factor.
+    /// the square of one plus the competing load per slot, times the slow-start factor. All load
+    /// competes with a short request, but only the load of long classes with a long one.
     pub(crate) fn cost(&self, kind: ClassKind, floor: f64) -> f64 {
         let health = self.lock();
         let competing = |load: Load| match kind {
