Say in place what a reader of forward, target and sidecar had to infer

Some comments and log lines did not match the code: nodes already tried are tried again once no other is left, a reload also changes the times of the next shutdown, the pause between polls follows every read, and a "refused" line may stand for a request that a target lost. Others left out where a value comes from, such as the expected run time, or why every node of a data centre calls an unreachable store. "Downstream" named the services that a target calls, which a mesh calls upstream.

The least slack of a node is a number of retries, not a share, so its constant names the unit: MIN_NODE_SLACK_RETRIES. No behaviour changes.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -22,7 +22,7 @@
 }
 
 /// Offers a call to the node of one target and waits for the answer. Dropping the future cancels
-/// the attempt.
+/// the request, unless it is not idempotent and was admitted.
 pub(super) async fn run(
     runner: &Arc<Runner>,
     call: &Call,
--- a/src/forward/budget.rs
+++ b/src/forward/budget.rs
@@ -9,12 +9,12 @@
 use std::time::{Duration, Instant};
 
 /// Share of the budget that nodes spend on retries of their own. The rest is headroom for the
-/// downstream requests that retries make in turn, which are counted but cannot be withheld, and for
-/// nodes that have restarted and whose counts are therefore too low.
+/// requests that targets make to other services while they run a retry, which are counted but
+/// cannot be withheld, and for nodes that have restarted and whose counts are therefore too low.
 const SPENDABLE_SHARE: f64 = 0.55;
-/// Smallest share of the slack that a node uses. With many nodes an equal share could be less than
-/// one retry, which would forbid them all.
-const MIN_NODE_SLACK: f64 = 1.0;
+/// Least slack that a node uses, in retries. With many nodes an equal share could be less than one
+/// retry, which would forbid them all.
+const MIN_NODE_SLACK_RETRIES: f64 = 1.0;
 
 /// Limits of the retry budget of a service, over all nodes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -91,7 +91,7 @@
     fn allowed(&self, counts: &Counts, nodes: usize) -> f64 {
         let slack = SPENDABLE_SHARE * self.limits.slack / to_f64(nodes.max(1));
         let by_ratio = SPENDABLE_SHARE * self.limits.ratio * to_f64(counts.requests.len());
-        by_ratio + slack.max(MIN_NODE_SLACK)
+        by_ratio + slack.max(MIN_NODE_SLACK_RETRIES)
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<String, Counts>> {
--- a/src/forward/call.rs
+++ b/src/forward/call.rs
@@ -22,7 +22,7 @@
     pub received_at: Instant,
     /// When the timeout of the route or of the caller expires, whichever is shorter.
     pub deadline: Instant,
-    /// Average latency of the route's requests.
+    /// Average latency of the route's requests. Offers state it as the expected run time.
     pub expected_latency: Duration,
     /// Hash of method, path and query, caller service and body. Requests with the same fingerprint
     /// are assumed to have the same effect on a target.
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -45,9 +45,11 @@
 /// Bounds of the `retry-after` header.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Interval at which targets are looked up again while none is serving.
+/// Interval at which targets are looked up again while none is serving or all serving ones have
+/// been tried.
 const TARGET_LOOKUP_INTERVAL: Duration = Duration::from_millis(50);
-/// Share of the latency objective for which a request waits for a target that serves it.
+/// Share of the latency objective, from the receipt of the request, for which the request waits for
+/// a target if none is serving or all serving ones have been tried.
 const TARGET_WAIT_SHARE: f64 = 0.25;
 
 /// Maximum length of a path in a log line; a longer one is cut.
@@ -223,6 +225,7 @@
             let Some(endpoint) = ranked.first() else {
                 if progress.overload_refusals == 0 && may_wait_for_target(call) {
                     tokio::time::sleep(TARGET_LOOKUP_INTERVAL).await;
+                    // No other target is left, so those already tried are tried again.
                     progress.excluded_nodes.clear();
                     continue;
                 }
@@ -421,7 +424,7 @@
             reason = reason.as_str(),
             verdict = verdict.as_str(),
             took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
-            "refused a caller's request"
+            "no target answered a caller's request; responding with an error"
         );
         let mut response = Response::text(status, &format!("{refusal}\n"));
         if status == StatusCode::SERVICE_UNAVAILABLE {
@@ -445,14 +448,14 @@
     call.route.objective.mul_f64(QUEUE_WAIT_SHARE)
 }
 
-/// Whether a call for which no target is serving may wait for one.
+/// Whether a call for which no target is left to try may wait for one.
 fn may_wait_for_target(call: &Call) -> bool {
     call.received_at.elapsed() < call.route.objective.mul_f64(TARGET_WAIT_SHARE)
 }
 
 /// State of a call across its attempts.
 struct Progress {
-    /// Nodes that are not tried again.
+    /// Nodes that are not tried again as long as others are left.
     excluded_nodes: Vec<String>,
     overload_refusals: usize,
     /// Number of attempts whose requests may have reached a target.
--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -82,7 +82,7 @@
             presence = presence.to_string().as_str(),
             target_id = entry.target.as_ref().map_or("", |t| t.id.as_str()),
             revision = entry.revision;
-            "presence of the target changed"
+            "presence, identity, service or slots of the target changed"
         );
         self.directory.merge(vec![entry.clone()]);
         self.publish(entry);
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -208,8 +208,8 @@
         ));
     }
 
-    /// Applies changed settings. Only the callers' service changes while the node runs; other
-    /// changes take effect at the next start.
+    /// Applies changed settings. The callers' service changes at once, and the shutdown times apply
+    /// to the next shutdown; other changes take effect at the next start.
     pub fn reload(&mut self, settings: Settings) {
         if settings == self.settings {
             return;
@@ -217,7 +217,7 @@
         log::info!(
             event = "reload",
             service = settings.service.as_str();
-            "settings changed; all but the service take effect at the next start"
+            "settings changed; all but service and shutdown times take effect at the next start"
         );
         self.forwarder.set_caller_service(&settings.service);
         self.settings = settings;
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -180,6 +180,7 @@
     }
 }
 
+/// Reads a duration in seconds; a value above one day is read as one day.
 fn seconds(reader: &mut Reader, key: &'static str, default: f64) -> Duration {
     Duration::from_secs_f64(non_negative(reader, key, default).min(86_400.0))
 }
--- a/src/sidecar/tasks.rs
+++ b/src/sidecar/tasks.rs
@@ -22,7 +22,7 @@
 pub(super) struct Polling {
     /// Duration of one long poll, and the time after which a store that hangs is noticed.
     long_poll: Duration,
-    /// Pause after changes, so that changes in quick succession are read together.
+    /// Pause after each successful read, so that changes in quick succession are read together.
     pause: Duration,
     /// Whether polling goes on while the store is unreachable, to notice its return.
     polls_during_outage: bool,
@@ -103,8 +103,10 @@
     }
 }
 
-/// Longest pause between calls of the node at `rank` to an unreachable store. Every node of a data
-/// centre calls it then; the first in rank notices its return soonest and becomes the watcher.
+/// Longest pause between calls of the node at `rank` to an unreachable store. Nodes that cannot
+/// reach the store are not eligible as the watcher of others, so every node of the data centre ends
+/// up as its own watcher and calls the store. The first in rank notices soonest that the store is
+/// reachable again, and becomes the watcher of all.
 fn max_pause(rank: usize) -> Duration {
     let factor = u32::try_from(rank).unwrap_or(u32::MAX).saturating_add(1);
     MAX_RETRY_PAUSE
--- a/src/target/limiter.rs
+++ b/src/target/limiter.rs
@@ -36,7 +36,7 @@
 struct State {
     slots: u32,
     running: u32,
-    /// Requests queued so far.
+    /// Number of requests so far that found no free slot.
     arrivals: u64,
     queue: BTreeMap<QueueKey, Waiter>,
     /// Why new requests are refused; `None` while they are accepted.
@@ -59,7 +59,7 @@
     pub objective_end: Instant,
     /// Longest wait for a slot.
     pub max_wait: Duration,
-    /// Usual run time of the route's requests.
+    /// Expected run time: the average latency of the route's requests at the caller's node.
     pub expected_run: Duration,
     /// Average time for which requests hold a slot of this target.
     pub average_run: Duration,
--- a/src/target/meter.rs
+++ b/src/target/meter.rs
@@ -16,7 +16,7 @@
 #[derive(Debug)]
 pub(super) struct Meter {
     run_ms: f64,
-    /// Run time relative to the usual run time of the route.
+    /// Run time relative to the expected one.
     slowness: f64,
     failure_ratio: f64,
     /// Start and expected run time of the unfinished runs, by run number.
@@ -37,7 +37,7 @@
 }
 
 impl Meter {
-    /// Records the start of a run whose route usually takes `expected`; returns the run's number.
+    /// Records the start of a run that is expected to take `expected`; returns the run's number.
     pub(super) fn begin(&mut self, expected: Duration) -> u64 {
         self.last_number += 1;
         self.unfinished_runs
@@ -77,9 +77,9 @@
         self.failure_ratio
     }
 
-    /// Run time relative to the usual run time of the routes. Is the median over the unfinished
-    /// runs if that is above the average over the finished ones, so that a target which hangs shows
-    /// before its runs end.
+    /// Run time relative to the expected one: the average over the finished runs, or the median
+    /// over the unfinished ones if that is higher, so that a target that hangs is noticed before
+    /// its runs end.
     pub(super) fn slowness(&self) -> f64 {
         if self.unfinished_runs.len() < MIN_RUNNING_FOR_SLOWNESS {
             return self.slowness;
--- a/src/target/runner.rs
+++ b/src/target/runner.rs
@@ -252,7 +252,8 @@
             return self.send(offer, &target_id, remaining, permit).await;
         }
         // A separate task continues when the future of this call is dropped. It counts the request
-        // as well, because the count above ends with the future.
+        // as well, because the count above ends with the future, but does not count it as a repeat
+        // a second time.
         let runner = self.clone();
         let sending = tokio::spawn(async move {
             let _in_flight = runner.in_flight.count(false);
