Tell the two routes apart in the test of the longest prefix

the_longest_matching_prefix_selects_the_route passed whichever route matched: a lost answer gives 502 after one request both on the route longer, which allowed one attempt, and on the route once, whose requests must not be repeated.

The route longer now allows three attempts, and the test expects status 200 after two requests; the route once still gives 502 after one.

The old check was also the only unit test that noticed a route's limit of attempts being ignored. It is kept with its script and result as a_lost_answer_gives_502_if_the_attempts_are_used_up, on a route single of its own that allows one attempt.

Seen red on trial edits, all reverted: with the prefix of longer set to /unrelated/, the prefix test got (502, 1) instead of (200, 2). With the limit of attempts ignored by the forwarder, and with the limit of every route compiled as 3, the test of the used-up attempts got (200, 2) instead of (502, 1).

--- a/src/forward/tests/forwarder.rs
+++ b/src/forward/tests/forwarder.rs
@@ -29,7 +29,10 @@
      "Prefix":"/once/","Type":"unsafe","TimeoutS":0.6,"GoalS":0.3,"Priority":1,"Attempts":3,
      "Service":"booking"}},
     {"KindOf":"Routes","Metadata":{"Name":"longer"},"Spec":{"Host":"shop.example",
-     "Prefix":"/once/longer/","Type":"safe","TimeoutS":0.6,"GoalS":0.3,"Priority":1,"Attempts":1,
+     "Prefix":"/once/longer/","Type":"safe","TimeoutS":0.6,"GoalS":0.3,"Priority":1,"Attempts":3,
+     "Service":"booking"}},
+    {"KindOf":"Routes","Metadata":{"Name":"single"},"Spec":{"Host":"shop.example",
+     "Prefix":"/single/","Type":"safe","TimeoutS":0.6,"GoalS":0.3,"Priority":1,"Attempts":1,
      "Service":"booking"}}]}"#;
 
 fn own_entry() -> Entry {
@@ -129,8 +132,10 @@
     a_lost_answer_gives_502_if_the_call_must_not_be_repeated:
         [Action::Close, Action::Answer(GOOD)], "/once/a" => (502, 1),
     an_answer_after_the_deadline_gives_504: [Action::NeverAnswer], "/once/a" => (504, 1),
+    a_lost_answer_gives_502_if_the_attempts_are_used_up:
+        [Action::Close, Action::Answer(GOOD)], "/single/a" => (502, 1),
     the_longest_matching_prefix_selects_the_route:
-        [Action::Close, Action::Answer(GOOD)], "/once/longer/a" => (502, 1),
+        [Action::Close, Action::Answer(GOOD)], "/once/longer/a" => (200, 2),
 }
 
 #[tokio::test]
