Correct comments of stand-ins, bench, soak and tests

Some comments promised more than the code does, or could not be understood without reading other files.

- The soak's target does not crash when it is replaced: its server closes each connection after the current request.
Target::crash is now Target::stop, and the comments say so.
The same holds for Mesh::kill.
- The same soak seed draws the same faults, but which of them are injected depends on timing.
- Mesh::wait_for_members compares numbers of members, not the members.
- Outcomes: which calls may_have_run and reasons count; which modules of bench are no subcommands; what an empty region stands for.
- The test that restarts nodes together restarts one region, not all nodes.
The test of increasing versions does not check restarted nodes.
Altered bundle bytes are accepted only as a canonical encoding.

Only names and comments change.

--- a/src/bench/load.rs
+++ b/src/bench/load.rs
@@ -59,12 +59,13 @@
     pub in_time_steady: u64,
     /// Calls whose last attempt was refused as not run.
     pub not_run: u64,
-    /// Calls whose last attempt was lost or refused as possibly run.
+    /// Calls whose last attempt was answered with the verdict that it may have run.
     pub may_have_run: u64,
     /// Calls whose last attempt failed without a verdict, such as by a target's own 503 or a broken
     /// connection.
     pub failed: u64,
-    /// Number of failed calls by reason code, or by HTTP status where there is none.
+    /// Number of unsuccessful calls, with or without a verdict, by reason code, or by HTTP status
+    /// where there is none.
     pub reasons: BTreeMap<String, u64>,
     /// Latency of successful calls in microseconds, retries included.
     pub latency: Histogram<u64>,
@@ -106,7 +107,7 @@
         }
     }
 
-    /// Summary of the failed calls by verdict and reason.
+    /// Summary of the unsuccessful calls by verdict and reason.
     pub(super) fn failures(&self) -> String {
         let Self {
             not_run,
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,6 +1,6 @@
 //! Measurements and the demonstration, against stand-ins on loopback. Each module is named after its
-//! subcommand: `bluebellgap bench NAME`, or `bluebellgap demo`. Every run is bounded in calls and in
-//! time.
+//! subcommand, `bluebellgap bench NAME` or `bluebellgap demo`, except `fixture` and `load`, which
+//! the others share. Every run is bounded in calls and in time.
 
 mod added;
 mod control;
--- a/src/bench/rollout.rs
+++ b/src/bench/rollout.rs
@@ -193,6 +193,7 @@
             let Some(node) = node else { continue };
             let by_region: BTreeMap<String, u64> = node.control_bytes();
             traffic.total += by_region.values().sum::<u64>();
+            // An empty name stands for peers whose region is unknown.
             let other_regions = by_region
                 .iter()
                 .filter(|(region, _)| !region.is_empty() && **region != settings.region);
--- a/src/soak/injector.rs
+++ b/src/soak/injector.rs
@@ -46,7 +46,7 @@
     TargetReset,
     /// Makes the target slow.
     TargetSlow,
-    /// Crashes the target and starts one with a new id.
+    /// Stops the target and starts one with a new id.
     TargetReplaced,
     /// Drains the target, and replaces it when the fault ends.
     TargetDrained,
@@ -267,7 +267,7 @@
     pub(super) async fn stop(mut self) {
         for node in &mut self.nodes {
             node.kill().await;
-            node.target.crash();
+            node.target.stop();
         }
     }
 }
--- a/src/soak/mod.rs
+++ b/src/soak/mod.rs
@@ -1,8 +1,9 @@
 //! A randomized soak test: real node processes on loopback, faults injected from outside, and
 //! checks of what callers and targets observe.
 //!
-//! Faults and the callers' choices are drawn from the seed, so the same seed injects the same
-//! faults in the same order. The processes themselves run in real time. Signals go only to
+//! Faults and the callers' choices are drawn from the seed, so the same seed draws the same faults
+//! in the same order. The run itself is in real time, which decides how many faults are drawn, and
+//! which are skipped because an earlier one at the same node is still active. Signals go only to
 //! processes that the soak started.
 
 mod caller;
--- a/src/soak/target.rs
+++ b/src/soak/target.rs
@@ -79,15 +79,16 @@
         self.shared.send_heartbeat(&self.heartbeat_pool).await
     }
 
-    /// Stops heartbeats and closes all connections, as in a crash.
-    pub(super) fn crash(&mut self) {
+    /// Stops heartbeats and closes the listener. Unlike in a crash, requests in flight are still
+    /// answered.
+    pub(super) fn stop(&mut self) {
         self.shared.stopped.store(true, Ordering::Relaxed);
         self.server = None;
     }
 
-    /// Crashes the target and starts another with a new id at the same address.
+    /// Stops the target and starts another with a new id at the same address.
     pub(super) async fn replace(&mut self) -> Result<()> {
-        self.crash();
+        self.stop();
         let service = self.shared.lock().service.clone();
         let shared = Arc::new(Shared::new(&service, self.shared.checker.clone()));
         self.server = Some(rebind(self.address, &shared).await?);
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -7,7 +7,7 @@
 use hyper::{Method, Request};
 
 use crate::http::{Pool, full, read_whole};
-use crate::verdict::{HEADER, Verdict};
+use crate::verdict::{HEADER as VERDICT_HEADER, Verdict};
 
 const MAX_ANSWER_BYTES: usize = 256 * 1024 * 1024;
 
@@ -120,7 +120,7 @@
         let header = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
         Answer {
             status: head.status.as_u16(),
-            verdict: header(HEADER).and_then(Verdict::parse),
+            verdict: header(VERDICT_HEADER).and_then(Verdict::parse),
             reason: header("x-bluebellgap-reason").map(str::to_owned),
             replayed: header("x-bluebellgap-replayed").is_some(),
             body,
--- a/src/standin/mesh.rs
+++ b/src/standin/mesh.rs
@@ -127,7 +127,8 @@
         Ok(())
     }
 
-    /// Stops a node without a graceful shutdown, as a crash would.
+    /// Stops a node without announcing its departure. Unlike in a crash, requests in flight may
+    /// still be answered.
     pub fn kill(&mut self, index: usize) {
         self.nodes[index] = None;
     }
@@ -206,7 +207,7 @@
         Ok(durations)
     }
 
-    /// Waits until the member list of every running node has all running nodes.
+    /// Waits until every running node knows as many members as there are running nodes.
     ///
     /// # Errors
     /// [`Error::State`] if that takes longer than `limit`.
--- a/tests/bundles.rs
+++ b/tests/bundles.rs
@@ -88,7 +88,7 @@
             altered[position.index(bytes.len())] ^= 1 << bit;
             prop_assert!(decode(&altered, digest).is_err());
             prop_assert!(decode(&bytes[..position.index(bytes.len())], digest).is_err());
-            // With a matching digest, altered bytes are accepted only if they are a valid bundle.
+            // With a matching digest, altered bytes are accepted only as a canonical encoding.
             if let Ok(decoded) = decode(&altered, Digest::of(&altered)) {
                 prop_assert_eq!(encode(&decoded).unwrap(), altered);
             }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -24,7 +24,7 @@
 
 cases! {
     a_rollout_completes_after_all_registrars_are_killed => rollout_without_registrars();
-    nodes_restarted_together_start_at_the_version_in_force => all_nodes_restarted();
+    nodes_restarted_together_start_at_the_version_in_force => one_region_restarted();
     nodes_keep_serving_while_the_platform_is_down => platform_down();
     a_node_starts_from_its_peers_while_the_platform_is_down => start_from_peers();
     an_action_whose_answer_was_lost_takes_effect_once => lost_answers();
@@ -45,7 +45,8 @@
     mesh.wait_until_in_force(version, LIMIT).await.unwrap();
 }
 
-async fn all_nodes_restarted() {
+/// Restarts all nodes of one region, half of the mesh, at the same time.
+async fn one_region_restarted() {
     let mut mesh = start(&layout(2, 1, 5)).await;
     let version = mesh.roll_out(&sample_bundle(2)).await.unwrap();
     mesh.wait_until_in_force(version, LIMIT).await.unwrap();
@@ -204,7 +205,8 @@
     mesh.wait_until_in_force(version, LIMIT).await.unwrap();
 }
 
-/// Checks every version of every node through rollouts, kills of registrars and a slow platform.
+/// Checks that the versions of each node only increase, through rollouts, kills of registrars and a
+/// slow platform. A node started in place of a killed one is not checked.
 async fn versions_only_increase() {
     let mut mesh = start(&layout(1, 2, 4)).await;
     let checks: Vec<_> = (0..mesh.nodes.len())
