Correct comments of the sidecar's forwarding, target and store code

Several comments said something that the code contradicts, such as when a hanging store is noticed, what the wait before the exit is for, or which heartbeats count as stale after a restart. They now say what the code does. Two tests explain the deadline and the seed address that they use.

--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -49,7 +49,8 @@
 /// been tried.
 const TARGET_LOOKUP_INTERVAL: Duration = Duration::from_millis(50);
 /// Share of the latency objective, from the receipt of the request, for which the request waits for
-/// a target if none is serving or all serving ones have been tried.
+/// a target if none is serving or all serving ones have been tried. It does not wait if one of them
+/// has refused it for overload.
 const TARGET_WAIT_SHARE: f64 = 0.25;
 
 /// Maximum length of a path in a log line; a longer one is cut.
--- a/src/forward/tests/forwarder.rs
+++ b/src/forward/tests/forwarder.rs
@@ -161,6 +161,7 @@
         fixture.target.requests() == 1
     })
     .await;
+    // The deadline leaves no time to wait for the only slot, which the first request occupies.
     let mut second = request(Method::GET, "/once/b", "2");
     second
         .headers
--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -29,7 +29,8 @@
     pub suspicions: Arc<Suspicions>,
     /// Wakes the task that writes the node's entry to the store.
     pub announcement_due: Notify,
-    /// Whether this node's last read of the store succeeded; relevant while it is the watcher.
+    /// Whether this node's last read of the store succeeded; `true` before the first. Only the
+    /// watcher reads the store, so the value on other nodes may be old.
     pub store_reachable: AtomicBool,
     own_entry: Mutex<Entry>,
     version_lag: Mutex<VersionLag>,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -40,7 +40,9 @@
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// Time to delete the node's entry from the store; if that fails, the watcher deletes it later.
 const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(200);
-/// Time for idle connections to close at the end of a shutdown.
+/// Time before the exit that is left for connections to close: callers' requests that are still in
+/// flight at its start are refused. It is also the wait after the callers' connections have closed
+/// and the target is idle.
 const CLOSE_GRACE: Duration = Duration::from_millis(300);
 
 /// A running sidecar node.
--- a/src/sidecar/tasks.rs
+++ b/src/sidecar/tasks.rs
@@ -20,7 +20,8 @@
 /// How the watcher polls a table for changes.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Polling {
-    /// Duration of one long poll, and the time after which a store that hangs is noticed.
+    /// Duration of one long poll. A store that hangs is noticed when the poll times out, which is
+    /// after this duration and the margin of the store's client.
     long_poll: Duration,
     /// Pause after each successful read, so that changes in quick succession are read together.
     pause: Duration,
@@ -269,8 +270,8 @@
     }
 }
 
-/// Deletes a node's entry from the store. Tries once; if it fails, the watcher deletes the
-/// entry later.
+/// Deletes a node's entry from the store. Tries once; if it fails, a later sweep of the watcher
+/// tries again for a node that is unreachable, but not for one that was replaced.
 pub(super) async fn withdraw(table: &dyn Table, node: &str) {
     let transaction = Transaction::default().delete(&entry_key(node));
     if let Err(error) = table.transact(&transaction).await {
--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -99,7 +99,8 @@
     store.set_fault(Some(StoreFault::Busy));
     let mut second = settings("second", &store, target.address);
     second.listen.mesh = SocketAddr::from(([127, 0, 0, 3], first.hub.own_entry().address.port()));
-    // The seed's heartbeat address; its link is at the same IP address and the own mesh port.
+    // Heartbeat address of the first node. Its port is ignored: the link to a seed uses the port of
+    // this node's own mesh listener, which is why both nodes have the same one.
     second.seeds = vec!["127.0.0.2:9".parse().unwrap()];
     let second = Sidecar::start(second).unwrap();
     until("version fetched from the seed", || second.version() == 1).await;
--- a/src/target/identity.rs
+++ b/src/target/identity.rs
@@ -33,7 +33,8 @@
     restored: Option<RestoredTarget>,
 }
 
-/// The last heartbeat that an earlier process of this node applied.
+/// Target that an earlier process of this node announced, with the sequence number of the heartbeat
+/// that the announcement was based on.
 #[derive(Debug)]
 struct RestoredTarget {
     id: String,
@@ -42,7 +43,7 @@
 }
 
 impl RestoredTarget {
-    /// Whether the heartbeat is not newer than the restored one.
+    /// Whether the heartbeat is not newer than the announcement.
     fn covers(&self, heartbeat: &Heartbeat) -> bool {
         let started_earlier = heartbeat.started_ms < self.started_ms;
         let same_target = heartbeat.id == self.id && heartbeat.started_ms == self.started_ms;
@@ -80,8 +81,8 @@
         self.received_at.map(|at| at.elapsed())
     }
 
-    /// Restores what an earlier process of the node knew: heartbeats up to `sequence` count as
-    /// stale.
+    /// Restores the target that an earlier process of the node announced: its heartbeats up to
+    /// `sequence`, and those of targets that started before it, count as stale.
     pub(crate) fn restore(&mut self, id: &str, started_ms: u64, sequence: u64) {
         self.restored = Some(RestoredTarget {
             id: id.to_owned(),
--- a/src/target/runner.rs
+++ b/src/target/runner.rs
@@ -146,7 +146,7 @@
         }
     }
 
-    /// Refuses new requests because the node is shutting down.
+    /// Refuses queued and new requests because the node is shutting down.
     pub(crate) fn drain(self: &Arc<Self>) {
         self.draining.store(true, Ordering::Relaxed);
         self.update_presence();
@@ -211,8 +211,8 @@
         }
     }
 
-    /// Share of repeats among the requests at the target. A request that the target itself makes is
-    /// assumed to belong to a repeat with this probability.
+    /// Share of repeats among the requests that are at the target or wait for it. A request that the
+    /// target itself makes is assumed to belong to a repeat with this probability.
     pub(crate) fn repeated_share(&self) -> f64 {
         self.in_flight.repeated_share()
     }
