forward: correct comments that the code contradicts

Some comments left out cases: which replies are awaited after the deadline, the least slack of a node's retry budget, what counts as a repeat, when no target is tried or hedged, and when a logged path is not cut. The reasons for the least time left and for the format of retry-after were missing.

A test said that an answer comes after the deadline; its target never answers. It is renamed: an_answer_after_the_deadline_gives_504 -> no_answer_before_the_deadline_gives_504. No behaviour changes.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -10,7 +10,8 @@
 use crate::target::Runner;
 use crate::verdict::{Reason, Refusal, Verdict};
 
-/// Time after the deadline during which a refusal by the target's node is still awaited.
+/// Time after the deadline during which a reply of the target's node is still awaited: that node
+/// refuses an unanswered request at the deadline, and its refusal takes a while to arrive.
 const REPLY_GRACE: Duration = Duration::from_millis(25);
 
 /// How an attempt ended.
--- a/src/forward/budget.rs
+++ b/src/forward/budget.rs
@@ -2,7 +2,7 @@
 //!
 //! Over all nodes and any window of time, a service may get retries (hedges included) up to a ratio
 //! of its requests plus a fixed slack. Nodes don't coordinate: each applies the ratio to its own
-//! requests and uses an equal share of the slack.
+//! requests and uses an equal share of the slack, but at least [`MIN_NODE_SLACK_RETRIES`].
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -13,7 +13,8 @@
 /// cannot be withheld, and for nodes that have restarted and whose counts are therefore too low.
 const SPENDABLE_SHARE: f64 = 0.55;
 /// Least slack that a node uses, in retries. With many nodes an equal share could be less than one
-/// retry, which would forbid them all.
+/// retry, and a node with few requests could never retry. With more nodes than the slack has
+/// retries, all nodes together may exceed the budget.
 const MIN_NODE_SLACK_RETRIES: f64 = 1.0;
 
 /// Limits of the retry budget of a service, over all nodes.
--- a/src/forward/call.rs
+++ b/src/forward/call.rs
@@ -70,7 +70,7 @@
     }
 
     /// Builds the offer of one attempt to the node beside a target. The request may wait there for
-    /// a slot for `max_wait`; `repeated` says whether another target may have run it before.
+    /// a slot for `max_wait`; `repeated` says whether an earlier attempt may have reached a target.
     pub(super) fn offer(&self, max_wait: Duration, repeated: bool) -> Offer {
         Offer {
             id: rand::random(),
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -40,9 +40,11 @@
 /// A request is hedged only while more retries than this are left in the budget, so that hedges
 /// leave some for requests that were lost.
 const HEDGE_RESERVE_RETRIES: f64 = 1.5;
-/// Time that must be left before the deadline for another attempt, in expected latencies.
+/// Time that must be left before the deadline for another attempt, in expected latencies. Below 1,
+/// because an attempt may well be faster than the average.
 const MIN_TIME_LEFT_LATENCIES: f64 = 0.4;
-/// Bounds of the `retry-after` header.
+/// Bounds of the `retry-after` header, whose value is a number of seconds with two decimals here;
+/// RFC 9110 defines only whole seconds and dates.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Interval at which targets are looked up again while none is serving or all serving ones have
@@ -53,7 +55,8 @@
 /// has refused it for overload.
 const TARGET_WAIT_SHARE: f64 = 0.25;
 
-/// Maximum length of a path in a log line; a longer one is cut.
+/// Length to which path and query are cut in a log line. They are logged whole if the cut would
+/// fall inside a character.
 const MAX_LOGGED_PATH_BYTES: usize = 128;
 
 /// Handles the requests of callers on this VM.
@@ -212,8 +215,8 @@
         answer
     }
 
-    /// Tries targets until one answers, the attempts or the retry budget are used up, or a failure
-    /// rules out another attempt.
+    /// Tries targets until one answers, the attempts or the retry budget are used up, or the kind
+    /// of failure, the time left or a lack of targets rules out another attempt.
     async fn dispatch(&self, call: &Call) -> Result<Response, Refusal> {
         let mut progress = Progress::default();
         loop {
@@ -353,8 +356,8 @@
     }
 
     /// Chooses the second target of a hedge and withdraws the hedge from the retry budget. Returns
-    /// `None` if the best other target has no spare slots, or the route or the budget don't allow
-    /// the hedge.
+    /// `None` if there is no other target, the best one has no spare slots, or the route or the
+    /// budget don't allow the hedge.
     fn hedge_target(
         &self,
         call: &Call,
--- a/src/forward/tests/forwarder.rs
+++ b/src/forward/tests/forwarder.rs
@@ -131,9 +131,10 @@
         [Action::Answer(FAILURE), Action::Answer(GOOD)], "/once/a" => (500, 1),
     a_lost_answer_gives_502_if_the_call_must_not_be_repeated:
         [Action::Close, Action::Answer(GOOD)], "/once/a" => (502, 1),
-    an_answer_after_the_deadline_gives_504: [Action::NeverAnswer], "/once/a" => (504, 1),
+    no_answer_before_the_deadline_gives_504: [Action::NeverAnswer], "/once/a" => (504, 1),
     a_lost_answer_gives_502_if_the_attempts_are_used_up:
         [Action::Close, Action::Answer(GOOD)], "/single/a" => (502, 1),
+    // Of the two routes that match, only the one with the longer prefix allows a retry.
     the_longest_matching_prefix_selects_the_route:
         [Action::Close, Action::Answer(GOOD)], "/once/longer/a" => (200, 2),
 }
