target: correct comments that the code contradicts

Some comments left out cases: duplicate heartbeats, departures of a known target, responses above a size limit, connections that are not kept, failed runs in the averages, and altered responses. Comments in tests now give the reasons for their times. No behaviour changes.

--- a/src/target/connection.rs
+++ b/src/target/connection.rs
@@ -32,7 +32,7 @@
     /// The connection ended or broke before the whole response arrived.
     #[display("{_0}")]
     ConnectionLost(String),
-    /// The bytes received are not a valid response.
+    /// The bytes received are not a valid response, or exceed a size limit.
     #[display("spoiled: {_0}")]
     InvalidResponse(String),
 }
@@ -132,7 +132,8 @@
         None
     }
 
-    /// Keeps a connection for another request, unless bytes beyond the response arrived on it.
+    /// Keeps a connection for another request, unless the target closes it after the response,
+    /// bytes beyond the response arrived on it, or [`MAX_IDLE_CONNECTIONS`] are kept already.
     fn check_in(&self, stream: Stream<TcpStream>, response: &Response) {
         if !response.keep_alive || stream.has_unread_bytes() {
             return;
--- a/src/target/guard.rs
+++ b/src/target/guard.rs
@@ -13,7 +13,7 @@
 #[derive(Default)]
 pub(super) struct Counter {
     total: AtomicU32,
-    /// Requests that another target may have run before.
+    /// Requests of which an earlier attempt may have reached a target.
     repeated: AtomicU32,
     reached_zero: Notify,
 }
--- a/src/target/identity.rs
+++ b/src/target/identity.rs
@@ -14,11 +14,12 @@
 /// Effect of a heartbeat on the known state of the target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Outcome {
-    /// The heartbeat is newer, but its content is the same.
+    /// The heartbeat is newer, but the identity, service, slots and phase are the same.
     Unchanged,
     /// The identity, service, slots or phase of the target changed.
     Changed,
-    /// The heartbeat is older than the known state or belongs to a departed target; it was ignored.
+    /// The heartbeat is not newer than the known state, or belongs to a departed target; it was
+    /// ignored.
     Stale,
 }
 
@@ -91,7 +92,7 @@
         });
     }
 
-    /// Applies a heartbeat, unless it was delayed and is older than the known state.
+    /// Applies a heartbeat, unless it is [`Outcome::Stale`], for example because it was delayed.
     pub(crate) fn apply(&mut self, heartbeat: Heartbeat) -> Outcome {
         let has_departed = self
             .departures
@@ -124,8 +125,8 @@
     }
 
     /// Records that a target leaves for good; returns whether it is the current one. A node that
-    /// has just started may not know the target yet: if the notice gives no start, it covers every
-    /// target with that id that started before `now_ms`.
+    /// has just started may not know the target yet: if the notice gives no start either, it covers
+    /// every target with that id that started up to `now_ms`.
     pub(crate) fn apply_departure(
         &mut self,
         id: &str,
--- a/src/target/meter.rs
+++ b/src/target/meter.rs
@@ -46,7 +46,7 @@
     }
 
     /// Records the end of a run. `failed` is `None` if the outcome says nothing about the target,
-    /// as when the caller cancelled the request.
+    /// as when the caller cancelled the request. A failed run changes only the failure ratio.
     pub(super) fn end(&mut self, number: u64, failed: Option<bool>) {
         let Some((began, expected)) = self.unfinished_runs.remove(&number) else {
             return;
@@ -62,12 +62,12 @@
         self.slowness += NEWEST_RUN_WEIGHT * (slowness_of(took, expected) - self.slowness);
     }
 
-    /// Average run time.
+    /// Average run time of the successful runs.
     pub(super) fn run_time(&self) -> Duration {
         Duration::from_secs_f64(self.run_ms / 1e3)
     }
 
-    /// Average run time in milliseconds.
+    /// Average run time of the successful runs, in milliseconds.
     pub(super) fn run_ms(&self) -> f64 {
         self.run_ms
     }
@@ -77,7 +77,7 @@
         self.failure_ratio
     }
 
-    /// Run time relative to the expected one: the average over the finished runs, or the median
+    /// Run time relative to the expected one: the average over the successful runs, or the median
     /// over the unfinished ones if that is higher, so that a target that hangs is noticed before
     /// its runs end.
     pub(super) fn slowness(&self) -> f64 {
--- a/src/target/runner.rs
+++ b/src/target/runner.rs
@@ -338,8 +338,8 @@
         }
     }
 
-    /// Accepts a response, or turns it into a refusal if the target did not run the request or did
-    /// not produce the response.
+    /// Accepts a response, or turns it into a refusal if the target did not run the request or the
+    /// response does not come unaltered from the target.
     fn classify_response(
         &self,
         request_id: &str,
--- a/src/target/tests/limiter.rs
+++ b/src/target/tests/limiter.rs
@@ -60,7 +60,8 @@
 }
 
 /// Queues requests with the given ranks and objectives (in milliseconds) while all slots are taken;
-/// returns the order in which they got a slot, as indices.
+/// returns the order in which they got a slot, as indices. A request with an objective of
+/// [`RUN_TIME`] or less cannot meet it.
 async fn admission_order(waiting: &[(u32, u64)]) -> Vec<usize> {
     let limiter = open(1);
     let first = admit(&limiter).await;
@@ -163,6 +164,9 @@
         ));
         tokio::task::yield_now().await;
     }
+    // After 50 ms in the queue it can no longer meet its objective, and the other three go first.
+    // The expected wait is then 400 ms; the 650 ms that are left of its maximum wait would have to
+    // be at least `LATE_WAIT_FACTOR` times that.
     let began = Instant::now();
     let late = requirements(0, Duration::from_millis(150), Duration::from_millis(700));
     let refusal = limiter.admit(late).await.err().unwrap();
--- a/src/target/tests/runner.rs
+++ b/src/target/tests/runner.rs
@@ -248,6 +248,7 @@
 async fn a_lost_connection_to_a_reachable_target_is_no_crash() {
     let mut fixture = fixture(&[Action::Close]).await;
     run(&fixture.runner, true).await.unwrap_err();
+    // Well above `CRASH_WINDOW`, after which the runner checks whether the target is reachable.
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert!(fixture.findings.try_recv().is_err());
 }
