sidecar: correct comments that the code contradicts

Some comments left out cases: the random variation of pauses, what the grace margin is for, when peers are queried, when the node's entry is written again, and whose health is tracked. Comments in tests now give the reasons for their times. No behaviour changes.

--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -36,13 +36,14 @@
 use crate::telemetry::{Counters, Histograms};
 use crate::version::Versions;
 
-/// How long before the end of the grace time the process exits by itself.
+/// How long before the end of the grace time the node stops waiting for requests and connections.
+/// Longer than [`WITHDRAW_TIMEOUT`], because the entry may be deleted after that.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// Time to delete the node's entry from the store; if that fails, the watcher deletes it later.
 const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time before the exit that is left for connections to close: callers' requests that are still in
 /// flight at its start are refused. It is also the wait after the callers' connections have closed
-/// and the target is idle.
+/// and the target is idle, in which the last replies to other nodes are still sent.
 const CLOSE_GRACE: Duration = Duration::from_millis(300);
 
 /// A running sidecar node.
--- a/src/sidecar/tasks.rs
+++ b/src/sidecar/tasks.rs
@@ -45,7 +45,8 @@
 };
 /// Interval at which a node checks whether it has become the watcher.
 const ROLE_CHECK_PERIOD: Duration = Duration::from_millis(100);
-/// First pause after a failure; doubled with each further failure.
+/// First pause after a failure; doubled with each further failure. This and the longest pauses
+/// below are means: each pause is up to 25 % shorter or longer, at random.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Longest pause after a failed write, and after a failed read by the first node in rank. Nodes
 /// further down in rank pause longer after a failed read.
@@ -53,8 +54,8 @@
 /// Longest pause after a failed read by a node of any rank; shorter than the time in which entries
 /// have to be up to date again after an outage.
 const MAX_READ_RETRY_PAUSE: Duration = Duration::from_millis(1_600);
-/// Interval at which other nodes are queried while the store is unreachable or some node has a
-/// higher version.
+/// Interval at which other nodes are queried while the store is unreachable, the first version is
+/// overdue or some node has a higher version; with a random jitter of up to 25 %.
 const QUERY_PERIOD: Duration = Duration::from_millis(400);
 /// Number of nodes queried each time.
 const PEERS_PER_QUERY: usize = 2;
@@ -235,7 +236,8 @@
     format!("{NODE_TABLE}/{node}")
 }
 
-/// Writes the node's own entry whenever it has changed, until `stopped` closes.
+/// Writes the node's own entry whenever it has changed, or its row in the store was deleted or
+/// replaced by an older one. Ends when `stopped` closes, but not while it retries a write.
 pub(super) async fn announce(
     table: Arc<dyn Table>,
     hub: Arc<Hub>,
--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -126,11 +126,13 @@
         !node.hub.store_reachable.load(Ordering::Relaxed)
     })
     .await;
-    // Wait until long polls from before the outage have ended.
+    // Wait until a long poll of the version from before the outage has ended, and until the pauses
+    // between calls have grown to `MAX_RETRY_PAUSE`.
     tokio::time::sleep(Duration::from_secs(1)).await;
     let before = store.calls();
     tokio::time::sleep(Duration::from_secs(3)).await;
-    // The only task that still polls waits at least 0.6 s between two calls.
+    // The only task that still polls waits at least 0.6 s between two calls: `MAX_RETRY_PAUSE` less
+    // the random variation of 25 %.
     assert!(store.calls() - before <= 5, "{}", store.calls() - before);
     store.set_fault(None);
     until("store reachable again", || {
@@ -158,6 +160,8 @@
     let in_flight = tokio::spawn(send_request(address, 1_400));
     until("request at the target", || target.requests() == 1).await;
     let leaving = tokio::spawn(node.leave());
+    // After the notice time of 200 ms, the node drains until 1.3 s after the start of the shutdown
+    // and refuses requests with a later deadline, such as the next one.
     tokio::time::sleep(Duration::from_millis(500)).await;
     let during_shutdown = send_request(address, 1_400).await;
     assert!(
@@ -165,6 +169,7 @@
         "{during_shutdown}"
     );
     assert!(during_shutdown.contains("retry-after"), "{during_shutdown}");
+    // 502 at the end of the drain, or 504 if the request's deadline comes first.
     assert!(in_flight.await.unwrap().starts_with("HTTP/1.1 50"));
     leaving.await.unwrap();
     assert_eq!(target.requests(), 1);
--- a/src/sidecar/version_lag/tests.rs
+++ b/src/sidecar/version_lag/tests.rs
@@ -11,8 +11,9 @@
     assert!(!lag.record(2, 2, grace));
     assert!(!lag.record(3, 2, grace));
     std::thread::sleep(grace);
-    // The grace time counts from the first report; nearer nodes have a shorter one.
+    // The grace time counts from the first report of a higher version.
     assert!(lag.record(3, 2, grace));
+    // Two fetches are never that close together, not even if the second has no grace time.
     assert!(!lag.record(3, 2, Duration::ZERO), "fetched a moment ago");
     assert_eq!(lag.highest(), 3);
     assert!(!lag.record(3, 3, grace));
--- a/src/sidecar/watcher.rs
+++ b/src/sidecar/watcher.rs
@@ -38,7 +38,7 @@
     store_lost_since: Option<Instant>,
 }
 
-/// Health of the other nodes of the data centre, by node name.
+/// Health of the nodes of the data centre, by node name. That of this node itself is not used.
 #[derive(Debug, Default)]
 pub(super) struct Neighbours {
     health: HashMap<String, Health>,
