Correct two misleading doc comments

`Identity::restore` read as if the restored target became the current one; it only makes older heartbeats stale. The comment on `should_fetch_roster` did not say that the argument is false for statuses of nodes other than the watcher, and that each false restarts the grace time.

--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -313,7 +313,8 @@
     }
 
     /// Whether to fetch the watcher's entries: they have differed for [`ROSTER_GRACE`].
-    /// `roster_differs` says whether they differ now.
+    /// `roster_differs` says whether the status just received shows a difference. It is `false` for
+    /// a status of any node but the watcher; each `false` restarts the grace time.
     fn should_fetch_roster(&self, roster_differs: bool) -> bool {
         let mut differs_since = lock(&self.roster_differs_since);
         if !roster_differs {
--- a/src/target/identity.rs
+++ b/src/target/identity.rs
@@ -82,8 +82,9 @@
         self.received_at.map(|at| at.elapsed())
     }
 
-    /// Restores the target that an earlier process of the node announced: its heartbeats up to
-    /// `sequence`, and those of targets that started before it, count as stale.
+    /// Sets the target that an earlier process of the node announced. It does not become the current
+    /// one, but its heartbeats up to `sequence`, and those of targets that started before it, count
+    /// as stale.
     pub(crate) fn restore(&mut self, id: &str, started_ms: u64, sequence: u64) {
         self.restored = Some(RestoredTarget {
             id: id.to_owned(),
