Test a silent connection also with the killed node out of the roster

Cause: the test of a non-idempotent call on a silent connection fails now and then with 503 "claim-unavailable". The replacement of a claim owner excludes only the last failed one, so the owner lookups alternate between the two failed members until their number is used up. That is a weakness under two failures at once, which this change does not mend.

Change: a second test makes the same calls and assertions, but first waits until the front node's roster, as pulled from it, does not list the killed node. It panics if that takes longer than the startup timeout. Both tests share their body; the assertions and the number of calls of the existing one are unchanged. No production code is changed.

--- a/src/proxy/tests.rs
+++ b/src/proxy/tests.rs
@@ -1,18 +1,20 @@
 //! Tests of the request path against targets and nodes that break the protocol or do not answer.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use jsonrpsee_http_client::HttpClient;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::node::Node;
 use crate::proxy::requests::{Phase, Requests};
-use crate::roster::{Member, Offer, Presence};
+use crate::roster::{ApplyOutcome, Member, Offer, Presence, View};
 use crate::settings::TargetSettings;
 use crate::standin::{Answer, Layout, Mesh, Target, TargetOptions, sample_bundle};
 use crate::verdict::Verdict;
-use crate::wire::ControlClient as _;
+use crate::wire::{ControlClient as _, Pull};
 
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -124,8 +126,38 @@
     assert_eq!(answer.reason.as_deref(), Some("connection-lost"));
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn non_idempotent_call_on_a_silent_connection_runs_once_at_another_target() {
+/// Waits until the roster of the front node, pulled with `client`, does not list the node of `mesh`
+/// that [`start_one_node`] killed.
+async fn wait_until_killed_node_left(mesh: &Mesh, client: &HttpClient) {
+    let killed = &mesh.settings[0];
+    let left = async {
+        loop {
+            let pull = Pull {
+                revision: 0,
+                positions: BTreeMap::default(),
+            };
+            let mut roster = View::default();
+            for update in client.pull(pull).await.unwrap().updates {
+                assert_eq!(roster.apply(&update), ApplyOutcome::Applied);
+            }
+            let lists = |name| roster.find(&killed.data_center, name).is_some();
+            assert!(lists("front"), "the front node does not list itself");
+            if !lists(&killed.node) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    assert!(
+        tokio::time::timeout(STARTUP_TIMEOUT, left).await.is_ok(),
+        "the killed node {} did not leave the roster of the front node within {STARTUP_TIMEOUT:?}",
+        killed.node
+    );
+}
+
+/// Makes 20 non-idempotent calls while one of two targets is behind a silent connection. All must
+/// succeed and run once.
+async fn check_calls_beside_a_silent_connection(wait_for_departure: bool) {
     let any = "127.0.0.1:0".parse().unwrap();
     // Slow enough that after one answer it is left out as slow beside the unmeasured silent target,
     // or all calls might avoid that one because of its slow start.
@@ -134,7 +166,12 @@
         ..TargetOptions::default()
     };
     let target = Target::start(any, options).unwrap();
-    let (_mesh, node) = start_one_node(target.address()).await;
+    let (mesh, node) = start_one_node(target.address()).await;
+    let control = format!("http://{}", node.addresses().control);
+    let client = HttpClient::builder().build(control).unwrap();
+    if wait_for_departure {
+        wait_until_killed_node_left(&mesh, &client).await;
+    }
     let silent = Member {
         node: "silent".into(),
         incarnation: 1,
@@ -149,10 +186,6 @@
         }),
         presence: Presence::Serving,
     };
-    let control = format!("http://{}", node.addresses().control);
-    let client = jsonrpsee_http_client::HttpClient::builder()
-        .build(control)
-        .unwrap();
     assert!(client.announce(silent).await.unwrap().accepted);
     while node.serving_targets("depot") < 2 {
         tokio::time::sleep(Duration::from_millis(5)).await;
@@ -169,6 +202,20 @@
     assert!(target.runs_by_key().values().all(|runs| *runs == 1));
 }
 
+/// Guards against calls that fail or run twice because of a silent member, also while the roster
+/// still lists a killed node beside it.
+#[tokio::test(flavor = "multi_thread")]
+async fn non_idempotent_call_on_a_silent_connection_runs_once_at_another_target() {
+    check_calls_beside_a_silent_connection(false).await;
+}
+
+/// Guards against calls that fail or run twice because of a silent member that is the only failed
+/// one: the killed node is out of the roster before it joins.
+#[tokio::test(flavor = "multi_thread")]
+async fn non_idempotent_call_on_a_silent_connection_runs_once_after_a_killed_node_left() {
+    check_calls_beside_a_silent_connection(true).await;
+}
+
 #[test]
 fn request_inquired_about_before_it_arrives_is_refused_on_arrival() {
     let requests = Requests::default();
