--- a/src/target/tests/limiter.rs
+++ b/src/target/tests/limiter.rs
@@ -42,6 +42,19 @@
         .unwrap()
 }
 
+/// Queues a request at a busy limiter, calls `act`, and returns the request's refusal.
+async fn refusal_while_queued(act: impl FnOnce(&Limiter)) -> Refusal {
+    let limiter = open(1);
+    let _running = admit(&limiter).await;
+    let waiting = tokio::spawn({
+        let limiter = limiter.clone();
+        async move { refusal(&limiter, LONG_WAIT).await }
+    });
+    tokio::task::yield_now().await;
+    act(&limiter);
+    waiting.await.unwrap()
+}
+
 #[tokio::test]
 async fn a_request_beyond_the_slots_is_refused_without_a_wait() {
     let limiter = open(2);
@@ -106,15 +119,8 @@
 
 #[tokio::test]
 async fn queued_requests_are_refused_when_the_limiter_closes() {
-    let limiter = open(1);
-    let _running = admit(&limiter).await;
-    let waiting = tokio::spawn({
-        let limiter = limiter.clone();
-        async move { refusal(&limiter, LONG_WAIT).await }
-    });
-    tokio::task::yield_now().await;
-    limiter.close(Reason::Draining);
-    assert_eq!(waiting.await.unwrap().reason, Reason::Draining);
+    let refusal = refusal_while_queued(|limiter| limiter.close(Reason::Draining)).await;
+    assert_eq!(refusal.reason, Reason::Draining);
 }
 
 #[tokio::test]
@@ -140,15 +146,8 @@
 
 #[tokio::test]
 async fn queued_requests_are_refused_when_the_target_changes_to_another_service() {
-    let limiter = open(1);
-    let _running = admit(&limiter).await;
-    let waiting = tokio::spawn({
-        let limiter = limiter.clone();
-        async move { refusal(&limiter, LONG_WAIT).await }
-    });
-    tokio::task::yield_now().await;
-    limiter.retain_service("servicing");
-    assert_eq!(waiting.await.unwrap().reason, Reason::NoTarget);
+    let refusal = refusal_while_queued(|limiter| limiter.retain_service("servicing")).await;
+    assert_eq!(refusal.reason, Reason::NoTarget);
 }
 
 #[tokio::test]
