Assign claim shards only to members that answer a probe

Cause: the registrar replaced a failed owner by the first other member in ring order. While the roster listed a silent member and a killed one, the lookups of a claim alternated between the two and ended in claim-unavailable before they reached a live member.

Change: candidates are probed in ring order, three at a time, and the first that answers becomes the owner.

Measured: the new test was red before (a killed member became the owner of the first shard).

--- a/src/claim/mod.rs
+++ b/src/claim/mod.rs
@@ -220,3 +220,6 @@
         self.owners.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+#[cfg(all(test, feature = "standin"))]
+mod tests;
--- a/src/claim/owner.rs
+++ b/src/claim/owner.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use futures_util::{StreamExt, stream};
 use jsonrpsee_http_client::HttpClient;
 
 use crate::error::Result;
@@ -20,6 +21,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Probes that must all fail before an owner counts as failed.
 const PROBE_ATTEMPTS: u32 = 2;
+/// Candidates for an ownership that are probed at a time.
+const CONCURRENT_CANDIDATES: usize = 3;
 
 /// Key of the row that holds a shard's owner.
 pub(super) fn owner_key(shard: u32) -> String {
@@ -77,7 +80,7 @@
     }
 
     /// Writes a new owner under the next epoch; if another registrar wrote one first, that one is
-    /// returned.
+    /// returned. `None` if no member answers.
     async fn assign(
         &self,
         members: &[Arc<Member>],
@@ -85,12 +88,9 @@
         previous: Option<(Owner, u64)>,
     ) -> Option<Owner> {
         let failed_node = previous.as_ref().map(|(owner, _)| owner.node.clone());
-        let member = choose_member(members, shard, failed_node.as_deref())?;
-        let owner = Owner {
-            node: member.node.clone(),
-            control: member.control,
-            epoch: previous.as_ref().map_or(0, |(owner, _)| owner.epoch) + 1,
-        };
+        let epoch = previous.as_ref().map_or(0, |(owner, _)| owner.epoch) + 1;
+        let candidates = rank_members(members, shard, failed_node.as_deref());
+        let owner = self.first_alive(candidates, epoch).await?;
         let key = owner_key(shard);
         let transaction = Transaction::default()
             .require(&key, previous.map_or(0, |(_, revision)| revision))
@@ -101,6 +101,23 @@
         Some(owner)
     }
 
+    /// The first of the candidates that answers a probe, as the owner in an epoch. Members that have
+    /// failed are listed until their absence is noticed.
+    async fn first_alive(&self, candidates: Vec<Arc<Member>>, epoch: u64) -> Option<Owner> {
+        let probed = candidates.into_iter().map(|member| async move {
+            let owner = Owner {
+                node: member.node.clone(),
+                control: member.control,
+                epoch,
+            };
+            self.is_alive(&owner).await.then_some(owner)
+        });
+        let alive = stream::iter(probed)
+            .buffered(CONCURRENT_CANDIDATES)
+            .filter_map(std::future::ready);
+        std::pin::pin!(alive).next().await
+    }
+
     async fn is_alive(&self, owner: &Owner) -> bool {
         for _ in 0..PROBE_ATTEMPTS {
             let call = async |client: HttpClient| client.probe().await;
@@ -123,15 +140,17 @@
     }
 }
 
-/// Chooses a serving member of the registrar's data centre other than the failed one; shards are
-/// spread over the members.
-fn choose_member(
+/// Serving members of the registrar's data centre other than the failed one, in the order in which
+/// they are to own the shard; shards are spread over the members.
+fn rank_members(
     members: &[Arc<Member>],
     shard: u32,
     failed_node: Option<&str>,
-) -> Option<Arc<Member>> {
+) -> Vec<Arc<Member>> {
     let serving = members.iter().filter(|m| m.presence == Presence::Serving);
     let candidates = serving.filter(|member| Some(member.node.as_str()) != failed_node);
-    let best = candidates.max_by_key(|member| ring_position(u64::from(shard) + 1, &member.node));
-    best.cloned()
+    let mut ranked: Vec<Arc<Member>> = candidates.cloned().collect();
+    ranked
+        .sort_by_key(|member| std::cmp::Reverse(ring_position(u64::from(shard) + 1, &member.node)));
+    ranked
 }
