--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -43,7 +43,8 @@
 struct RouteSpec {
     host: String,
     prefix: String,
-    /// `safe` if a request may run more than once, `unsafe` if at most once.
+    /// `safe` if a request may run more than once, `unsafe` if at most once; `download` is `safe` with
+    /// large responses.
     #[serde(rename = "Type")]
     kind: String,
     timeout_s: f64,
@@ -118,7 +119,7 @@
 
 fn convert_route(spec: RouteSpec) -> Result<Route, String> {
     let idempotent = match spec.kind.as_str() {
-        "safe" => true,
+        "safe" | "download" => true,
         "unsafe" => false,
         other => return Err(format!("unknown type '{other}'")),
     };
--- a/src/platform/tests/config.rs
+++ b/src/platform/tests/config.rs
@@ -48,6 +48,23 @@
     assert_eq!(split, [(&"s1".to_owned(), &90), (&"s2".to_owned(), &10)]);
 }
 
+/// Requests of each type may, or may not, run more than once.
+macro_rules! idempotence {
+    ($($name:ident: $kind:literal => $idempotent:literal,)*) => {
+        $(#[test]
+        fn $name() {
+            let (_, bundle) = config::parse(&with_route(|s| s["Type"] = $kind.into())).unwrap();
+            assert_eq!(bundle.routes["r"].idempotent, $idempotent);
+        })*
+    };
+}
+
+idempotence! {
+    a_safe_route_is_idempotent: "safe" => true,
+    a_download_route_is_idempotent: "download" => true,
+    an_unsafe_route_is_not_idempotent: "unsafe" => false,
+}
+
 /// Each configuration is rejected with an error that contains the given text.
 macro_rules! rejects {
     ($($name:ident: $bytes:expr => $text:expr,)*) => {
