Decide about overload apart from input and output; calls of running requests go first

Requests past their objective waited until their deadline behind newer ones that overtook them, and returning callers, whose objective counts from their first attempt, took slots of those who could still meet theirs.

Change: overload::queue decides about slots and queue from state and the current time; the limiter only waits. Calls of requests that run beside the caller's node have a rank of their own before all others, and are in time until their deadline. What can start on time is judged by the run time of the route at this target, with a margin. A late request is refused at once if the share of starts that is left beside those that overtake it is too small. overload::returning tells returning callers by the time they have left. The retry budget counts a call as caused by a retry if its request is one, instead of by an average.

Also: liveness checks of all links fall on the same moment, and log lines are written in batches, to save wake-ups.

--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -9,6 +9,7 @@
 mod fixture;
 mod load;
 mod mixed;
+mod patterns;
 mod rollout;
 mod slow;
 
@@ -17,5 +18,6 @@
 pub use crest::crest;
 pub use demo::demo;
 pub use mixed::mixed;
+pub use patterns::patterns;
 pub use rollout::rollout;
 pub use slow::slow;
--- a/src/bin/bluebellgap/cli.rs
+++ b/src/bin/bluebellgap/cli.rs
@@ -318,6 +318,13 @@
     /// Cost of the control plane by number of nodes
     #[bpaf(command)]
     Control,
+    /// Load patterns replayed in virtual time through the decisions under overload
+    #[bpaf(command)]
+    Patterns {
+        /// Seed of arrivals and run times
+        #[bpaf(long, argument("NUMBER"), fallback(18))]
+        seed: u64,
+    },
 }
 
 #[cfg(feature = "standin")]
--- a/src/bin/bluebellgap/standin.rs
+++ b/src/bin/bluebellgap/standin.rs
@@ -48,6 +48,7 @@
         BenchCommand::Slow => bench::slow().await?,
         BenchCommand::Added => bench::added().await?,
         BenchCommand::Control => bench::control().await?,
+        BenchCommand::Patterns { seed } => bench::patterns(seed),
     }
     Ok(())
 }
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -86,6 +86,10 @@
     /// Request id in the headers of a request or response, if there is one.
     fn request_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
 
+    /// Id of the request for which a target makes the request with the given id; `None` if the id
+    /// does not show one.
+    fn parent_request_id<'a>(&self, request_id: &'a str) -> Option<&'a str>;
+
     /// Time until the caller's deadline, if the request headers state one.
     fn timeout(&self, headers: &HeaderMap) -> Option<Duration>;
 
--- a/src/forward/call.rs
+++ b/src/forward/call.rs
@@ -7,6 +7,7 @@
 
 use crate::h1::Request;
 use crate::link::{Message, Offer};
+use crate::overload::queue::effective_rank;
 use crate::route::CompiledRoute;
 
 /// A routed request, with what every attempt needs of it.
@@ -27,11 +28,16 @@
     /// Hash of method, path and query, caller service and body. Requests with the same fingerprint
     /// are assumed to have the same effect on a target.
     pub fingerprint: u64,
+    /// Whether the target beside this node makes the request while it runs another one.
+    pub nested: bool,
+    /// Time since the caller first asked, if it returns after a refusal.
+    pub age: Duration,
     message: Message,
     caller_service: String,
 }
 
 impl Call {
+    #[allow(clippy::too_many_arguments, reason = "assembled in one place")]
     pub(super) fn new(
         route: Arc<CompiledRoute>,
         version: u64,
@@ -40,6 +46,8 @@
         caller_timeout: Option<Duration>,
         caller_service: &str,
         expected_latency: Duration,
+        nested: bool,
+        age: Duration,
     ) -> Self {
         let received_at = Instant::now();
         let timeout = caller_timeout.unwrap_or(route.timeout).min(route.timeout);
@@ -51,6 +59,8 @@
             deadline: received_at + timeout,
             expected_latency,
             fingerprint: fingerprint(request, caller_service),
+            nested,
+            age,
             message: request.into(),
             caller_service: caller_service.to_owned(),
             route,
@@ -66,24 +76,29 @@
     pub(super) fn objective_left(&self) -> Duration {
         self.route
             .objective
-            .saturating_sub(self.received_at.elapsed())
+            .saturating_sub(self.age + self.received_at.elapsed())
     }
 
     /// Builds the offer of one attempt to the node beside a target. The request may wait there for
     /// a slot for `max_wait`; `repeated` says whether an earlier attempt may have reached a target.
+    /// A nested call is in time as long as the request that it belongs to can still get its answer.
     pub(super) fn offer(&self, max_wait: Duration, repeated: bool) -> Offer {
         Offer {
             id: rand::random(),
             service: self.service.clone(),
-            route: self.route.class.clone(),
+            route: self.route.name.clone(),
             request_id: self.request_id.clone(),
             caller_service: self.caller_service.clone(),
             message: self.message.clone(),
             idempotent: self.route.idempotent,
             repeated,
-            rank: self.route.rank,
+            rank: effective_rank(self.route.rank, self.nested),
             max_wait,
-            objective: self.objective_left(),
+            objective: if self.nested {
+                self.time_left()
+            } else {
+                self.objective_left()
+            },
             time_left: self.time_left(),
             expected: self.expected_latency,
             fingerprint: self.fingerprint,
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -16,7 +16,7 @@
 use crate::forward::attempt::{self, Outcome};
 use crate::forward::budget::{Budget, Limits};
 use crate::forward::call::Call;
-use crate::forward::latency::Averages;
+use crate::forward::latency::{Averages, UsualTimes};
 use crate::h1::{Request, Response};
 use crate::ingress::Handler;
 use crate::roster::Suspicions;
@@ -77,6 +77,7 @@
     unanswered_requests: TaskTracker,
     budget: Budget,
     latencies: Averages,
+    usual_times: UsualTimes,
 }
 
 #[async_trait]
@@ -133,6 +134,7 @@
             unanswered_requests: TaskTracker::new(),
             budget: Budget::new(limits),
             latencies: Averages::default(),
+            usual_times: UsualTimes::default(),
         }
     }
 
@@ -188,22 +190,37 @@
             .ok_or_else(|| Refusal::not_run(Reason::NoRoute))?
             .clone();
         let expected_latency = self.latencies.get(&route.name, route.objective);
+        let caller_timeout = self.dialect.timeout(&request.headers);
         let caller_service = self.caller_service.load_full();
+        let parent = self.runner.find_parent(request_id);
+        let age = match caller_timeout {
+            Some(timeout) if parent.is_none() => {
+                self.usual_times
+                    .estimate_age(&route.name, timeout, route.timeout)
+            }
+            _ => Duration::ZERO,
+        };
         let call = Call::new(
             route,
             config.version.0,
             request,
             request_id,
-            self.dialect.timeout(&request.headers),
+            caller_timeout,
             caller_service.as_deref().map_or("", String::as_str),
             expected_latency,
+            parent.is_some(),
+            age,
         );
         self.check_drain(&call)?;
         if self.suspicions.must_refuse(call.fingerprint) {
             return Err(Refusal::not_run(Reason::Suspected));
         }
+        let repeat_probability = parent.map_or_else(
+            || self.runner.repeated_share(),
+            |parent| f64::from(u8::from(parent.repeated)),
+        );
         self.budget
-            .record_request(&call.service, self.runner.repeated_share());
+            .record_request(&call.service, repeat_probability);
         let answer = self.dispatch(&call).await;
         if let Ok(response) = &answer
             && response.status.is_success()
--- a/src/forward/latency.rs
+++ b/src/forward/latency.rs
@@ -1,9 +1,11 @@
-//! Moving averages of the latency of successful requests, by route.
+//! Averages by route: the latency of successful requests, and the time that callers give theirs.
 
 use std::collections::HashMap;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use crate::overload::returning::UsualTime;
+
 /// Weight of the newest sample in the moving average.
 const SAMPLE_WEIGHT: f64 = 0.05;
 /// Share of the latency objective that is assumed until the first sample.
@@ -43,3 +45,26 @@
         seconds.insert(route.to_owned(), sample);
     }
 }
+
+/// Times that callers usually give their requests, by route.
+#[derive(Default)]
+pub(super) struct UsualTimes {
+    by_route: Mutex<HashMap<String, UsualTime>>,
+}
+
+impl UsualTimes {
+    /// Estimates how long ago the caller of a request that it gives `time` first asked.
+    pub(super) fn estimate_age(
+        &self,
+        route: &str,
+        time: Duration,
+        route_timeout: Duration,
+    ) -> Duration {
+        let mut by_route = self.by_route.lock().unwrap_or_else(PoisonError::into_inner);
+        if by_route.len() >= MAX_ROUTES && !by_route.contains_key(route) {
+            by_route.clear();
+        }
+        let usual = by_route.entry(route.to_owned()).or_default();
+        usual.estimate_age(time, route_timeout)
+    }
+}
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -118,7 +118,7 @@
     pub id: OfferId,
     /// Service that the request goes to, selected by the route's traffic split.
     pub service: String,
-    /// Class of the route; not read by the receiving node.
+    /// Name of the route. Run times are averaged by it.
     pub route: String,
     /// Request id that the caller set.
     pub request_id: String,
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use tokio::net::TcpStream;
@@ -172,6 +172,17 @@
     }
 }
 
+/// Time of the next liveness check, which is the same for all links: with many links, checks at
+/// different times would wake the process most of the time.
+fn next_check() -> tokio::time::Instant {
+    static FIRST_CHECK: OnceLock<tokio::time::Instant> = OnceLock::new();
+    let now = tokio::time::Instant::now();
+    let first = *FIRST_CHECK.get_or_init(|| now);
+    let period_ms = LIVENESS_CHECK_PERIOD.as_millis();
+    let passed_ms = now.saturating_duration_since(first).as_millis() % period_ms;
+    now + Duration::from_millis(u64::try_from(period_ms - passed_ms).unwrap_or_default())
+}
+
 /// An offered request without a reply.
 struct PendingOffer {
     reply: oneshot::Sender<Reply>,
@@ -291,8 +302,8 @@
         if let Some(command) = first_command {
             self.execute(command, &mut session);
         }
-        let mut ticker = tokio::time::interval(LIVENESS_CHECK_PERIOD);
-        ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut ticker = tokio::time::interval_at(next_check(), LIVENESS_CHECK_PERIOD);
+        ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
         loop {
             tokio::select! {
                 frame = session.receiver.next() => match frame {
--- a/src/platform/dialect.rs
+++ b/src/platform/dialect.rs
@@ -64,6 +64,12 @@
         headers.get(REQUEST_ID)?.to_str().ok()
     }
 
+    /// A target appends a dot and an id of its own to the id of the request that it runs.
+    fn parent_request_id<'a>(&self, request_id: &'a str) -> Option<&'a str> {
+        let (parent, _) = request_id.rsplit_once('.')?;
+        Some(parent)
+    }
+
     fn timeout(&self, headers: &HeaderMap) -> Option<Duration> {
         let text = headers.get(DEADLINE_MS)?.to_str().ok()?;
         let millis = text.trim().parse::<f64>().ok()?;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -7,6 +7,7 @@
 
 mod caller;
 mod mesh;
+pub mod pattern;
 mod platform;
 mod store;
 mod target;
--- a/src/target/guard.rs
+++ b/src/target/guard.rs
@@ -73,8 +73,8 @@
 }
 
 impl Run {
-    pub(super) fn new(meter: &Arc<Mutex<Meter>>, expected: Duration) -> Self {
-        let number = lock(meter).begin(expected);
+    pub(super) fn new(meter: &Arc<Mutex<Meter>>, route: &str, expected: Duration) -> Self {
+        let number = lock(meter).begin(route, expected);
         Self {
             meter: meter.clone(),
             number,
--- a/src/target/limiter.rs
+++ b/src/target/limiter.rs
@@ -1,44 +1,27 @@
-//! Limits the requests at the target to its number of slots, and queues the others by rank and
-//! latency objective.
+//! Limits the requests at the target to its number of slots, and queues the others.
 //!
-//! Within a rank, requests that can still meet their objective go first: under overload the slots
-//! would otherwise be spent on requests that all miss theirs by a little.
+//! [`Queue`] decides; the limiter waits, and tells the waiting requests.
 
-use std::cmp::Ordering;
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use tokio::sync::oneshot;
 
+use crate::overload::queue::{Admission, Demand, Queue, Ticket, latest_start};
 use crate::verdict::{Reason, Refusal};
 
-/// Most requests in the queue. Bounds the memory only; `max_wait` bounds the wait of each request.
-const MAX_QUEUED: usize = 512;
-
-/// A request that can no longer meet its objective is refused unless what is left of its `max_wait`
-/// is at least this many times the expected wait, because requests that can still meet theirs
-/// overtake it.
-const LATE_WAIT_FACTOR: f64 = 2.0;
-
-/// Order in the queue: rank, end of the latency objective, number of the arrival.
-type QueueKey = (u32, Instant, u64);
-
 /// A request that waits for a slot.
 struct Waiter {
     service: String,
-    /// Latest time at which the request can start and still meet its objective.
-    latest_start: Instant,
     outcome_sender: oneshot::Sender<Result<Permit, Refusal>>,
 }
 
 #[derive(Default)]
 struct State {
-    slots: u32,
-    running: u32,
-    /// Number of requests so far that found no free slot.
-    arrivals: u64,
-    queue: BTreeMap<QueueKey, Waiter>,
+    queue: Queue,
+    /// The waiting requests, by their tickets in the queue.
+    waiters: HashMap<Ticket, Waiter>,
     /// Why new requests are refused; `None` while they are accepted.
     refusal_reason: Option<Reason>,
 }
@@ -57,14 +40,28 @@
     pub rank: u32,
     /// End of the latency objective.
     pub objective_end: Instant,
-    /// Longest wait for a slot.
+    /// Longest expected wait for a slot with which the request is queued.
     pub max_wait: Duration,
-    /// Expected run time: the average latency of the route's requests at the caller's node.
+    /// Time until the request has to start at the latest.
+    pub start_limit: Duration,
+    /// Expected run time of the request at this target.
     pub expected_run: Duration,
     /// Average time for which requests hold a slot of this target.
     pub average_run: Duration,
 }
 
+impl Requirements<'_> {
+    fn demand(&self, now: Instant) -> Demand {
+        Demand {
+            rank: self.rank,
+            objective_end: self.objective_end,
+            latest_start: latest_start(self.objective_end, self.expected_run),
+            wait_end: now + self.max_wait,
+            leave_at: Demand::leave_at(now, self.max_wait, self.start_limit),
+        }
+    }
+}
+
 /// The right to use one slot, which is freed on drop.
 pub(super) struct Permit {
     limiter: Arc<Limiter>,
@@ -91,7 +88,7 @@
     /// Accepts requests and runs up to `slots` at a time.
     pub(super) fn open(self: &Arc<Self>, slots: u32) {
         let mut state = self.lock();
-        state.slots = slots;
+        state.queue.set_slots(slots);
         state.refusal_reason = None;
         drop(state);
         self.grant_slots();
@@ -101,9 +98,10 @@
     pub(super) fn close(&self, reason: Reason) {
         let mut state = self.lock();
         state.refusal_reason = Some(reason);
-        let queue = std::mem::take(&mut state.queue);
+        state.queue.clear();
+        let waiters = std::mem::take(&mut state.waiters);
         drop(state);
-        for (_, waiter) in queue {
+        for (_, waiter) in waiters {
             let _ = waiter.outcome_sender.send(Err(Refusal::not_run(reason)));
         }
     }
@@ -111,8 +109,8 @@
     /// Number of running requests, of queued requests and of slots.
     pub(super) fn load(&self) -> (u32, u32, u32) {
         let state = self.lock();
-        let queued = u32::try_from(state.queue.len()).unwrap_or(u32::MAX);
-        (state.running, queued, state.slots)
+        let queued = u32::try_from(state.queue.waiting()).unwrap_or(u32::MAX);
+        (state.queue.running(), queued, state.queue.slots())
     }
 
     /// Waits for a slot, for at most `max_wait`. Refuses at once if the expected wait is longer.
@@ -120,61 +118,48 @@
         self: &Arc<Self>,
         requirements: Requirements<'_>,
     ) -> Result<Permit, Refusal> {
-        let (key, outcome) = {
+        let demand = requirements.demand(Instant::now());
+        let (ticket, mut outcome) = {
             let mut state = self.lock();
             if let Some(reason) = state.refusal_reason {
                 return Err(Refusal::not_run(reason));
             }
-            if state.running < state.slots {
-                state.running += 1;
-                return Ok(Permit {
-                    limiter: self.clone(),
-                });
-            }
-            state.arrivals += 1;
-            let key = (
-                requirements.rank,
-                requirements.objective_end,
-                state.arrivals,
-            );
-            let latest_start = requirements
-                .objective_end
-                .checked_sub(requirements.expected_run);
-            let latest_start = latest_start.unwrap_or(requirements.objective_end);
-            let expected_wait = state.expected_wait(&key, latest_start, requirements.average_run);
-            if expected_wait > requirements.max_wait || state.queue.len() >= MAX_QUEUED {
-                return Err(overloaded(expected_wait));
+            let average_run = requirements.average_run;
+            match state.queue.arrive(Instant::now(), demand, average_run) {
+                Admission::Run => {
+                    return Ok(Permit {
+                        limiter: self.clone(),
+                    });
+                }
+                Admission::Refuse(expected_wait) => return Err(overloaded(expected_wait)),
+                Admission::Wait(ticket) => {
+                    let (outcome_sender, outcome) = oneshot::channel();
+                    let service = requirements.service.to_owned();
+                    let waiter = Waiter {
+                        service,
+                        outcome_sender,
+                    };
+                    state.waiters.insert(ticket, waiter);
+                    (ticket, outcome)
+                }
             }
-            let (sender, outcome) = oneshot::channel();
-            let waiter = Waiter {
-                service: requirements.service.to_owned(),
-                latest_start,
-                outcome_sender: sender,
-            };
-            state.queue.insert(key, waiter);
-            (key, outcome)
         };
-        let _queue_guard = QueueGuard { limiter: self, key };
-        let mut outcome = outcome;
-        let end = Instant::now() + requirements.max_wait;
-        // Until then, a slot comes early enough to meet the objective.
-        let on_time_until = requirements
-            .objective_end
-            .checked_sub(requirements.expected_run)
-            .unwrap_or(end)
-            .min(end);
+        let _queue_guard = QueueGuard {
+            limiter: self,
+            ticket,
+        };
+        let on_time_until = demand.latest_start.min(demand.leave_at);
         if let Ok(outcome) = tokio::time::timeout_at(on_time_until.into(), &mut outcome).await {
             return outcome.unwrap_or_else(|_| Err(overloaded(requirements.average_run)));
         }
-        // From here on, every request of the rank that can still meet its objective goes before
-        // this one.
-        let expected_wait =
-            self.lock()
-                .expected_wait(&key, on_time_until, requirements.average_run);
-        if expected_wait.mul_f64(LATE_WAIT_FACTOR) > end.saturating_duration_since(Instant::now()) {
-            return Err(overloaded(expected_wait));
-        }
-        match tokio::time::timeout_at(end.into(), outcome).await {
+        let wait_end = self.lock().queue.keep_late(
+            Instant::now(),
+            &ticket,
+            demand.leave_at,
+            requirements.average_run,
+        );
+        let wait_end = wait_end.map_err(overloaded)?;
+        match tokio::time::timeout_at(wait_end.into(), outcome).await {
             Ok(Ok(outcome)) => outcome,
             _ => Err(overloaded(requirements.average_run)),
         }
@@ -182,7 +167,7 @@
 
     /// Frees a slot and gives it to the next request in the queue.
     fn release(self: &Arc<Self>) {
-        self.lock().running -= 1;
+        self.lock().queue.finish();
         self.grant_slots();
     }
 
@@ -190,13 +175,13 @@
     fn grant_slots(self: &Arc<Self>) {
         loop {
             let mut state = self.lock();
-            if state.running >= state.slots {
-                return;
-            }
-            let Some(waiter) = state.pop_next() else {
+            let Some(ticket) = state.queue.start_next(Instant::now()) else {
                 return;
             };
-            state.running += 1;
+            let Some(waiter) = state.waiters.remove(&ticket) else {
+                state.queue.finish();
+                continue;
+            };
             drop(state);
             let permit = Permit {
                 limiter: self.clone(),
@@ -209,12 +194,14 @@
     /// Refuses the queued requests that are for another service than `service`.
     pub(super) fn retain_service(&self, service: &str) {
         let mut state = self.lock();
-        let (kept, other) = std::mem::take(&mut state.queue)
+        let (kept, other): (HashMap<_, _>, HashMap<_, _>) = std::mem::take(&mut state.waiters)
             .into_iter()
             .partition(|(_, waiter)| waiter.service == service);
-        state.queue = kept;
+        state.waiters = kept;
+        for ticket in other.keys() {
+            state.queue.remove(ticket);
+        }
         drop(state);
-        let other: BTreeMap<QueueKey, Waiter> = other;
         for (_, waiter) in other {
             let _ = waiter
                 .outcome_sender
@@ -227,44 +214,6 @@
     }
 }
 
-impl State {
-    /// Removes the next request from the queue: of the lowest rank, the first that can meet its
-    /// objective, or else the first.
-    fn pop_next(&mut self) -> Option<Waiter> {
-        let now = Instant::now();
-        let (first, _) = self.queue.first_key_value()?;
-        let (rank, first) = (first.0, *first);
-        let same_rank = self.queue.iter().take_while(|(key, _)| key.0 == rank);
-        let mut on_time = same_rank.filter(|(_, waiter)| waiter.latest_start >= now);
-        let next = on_time.next().map_or(first, |(key, _)| *key);
-        self.queue.remove(&next)
-    }
-
-    /// Expected wait of a request with this key. Within a rank, requests that can still meet their
-    /// objective overtake those that cannot.
-    fn expected_wait(
-        &self,
-        key: &QueueKey,
-        latest_start: Instant,
-        average_run: Duration,
-    ) -> Duration {
-        let now = Instant::now();
-        let can_meet_objective = latest_start > now;
-        let is_ahead = |(other, waiter): &(&QueueKey, &Waiter)| {
-            let other_can_meet_objective = waiter.latest_start > now;
-            match other.0.cmp(&key.0) {
-                Ordering::Less => true,
-                Ordering::Greater => false,
-                Ordering::Equal if can_meet_objective == other_can_meet_objective => *other < key,
-                Ordering::Equal => other_can_meet_objective,
-            }
-        };
-        let ahead = self.queue.iter().filter(is_ahead).count();
-        let turns = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
-        average_run * turns / self.slots.max(1)
-    }
-}
-
 fn overloaded(expected_wait: Duration) -> Refusal {
     Refusal {
         retry_after: Some(expected_wait),
@@ -275,11 +224,13 @@
 /// Removes a request from the queue on drop, as when its future is cancelled.
 struct QueueGuard<'a> {
     limiter: &'a Limiter,
-    key: QueueKey,
+    ticket: Ticket,
 }
 
 impl Drop for QueueGuard<'_> {
     fn drop(&mut self) {
-        self.limiter.lock().queue.remove(&self.key);
+        let mut state = self.limiter.lock();
+        state.queue.remove(&self.ticket);
+        state.waiters.remove(&self.ticket);
     }
 }
--- a/src/target/meter.rs
+++ b/src/target/meter.rs
@@ -7,6 +7,8 @@
 const NEWEST_RUN_WEIGHT: f64 = 0.1;
 /// Initial value of the average run time.
 const INITIAL_RUN_TIME: Duration = Duration::from_millis(150);
+/// Routes with an average run time. All averages are dropped when another route is added.
+const MAX_ROUTES: usize = 1_024;
 /// Number of unfinished runs from which on they count towards the slowness.
 const MIN_RUNNING_FOR_SLOWNESS: usize = 3;
 /// Bounds of the slowness of one run, so that it cannot move the average without limit.
@@ -19,17 +21,27 @@
     /// Run time relative to the expected one.
     slowness: f64,
     failure_ratio: f64,
-    /// Start and expected run time of the unfinished runs, by run number.
-    unfinished_runs: HashMap<u64, (Instant, Duration)>,
+    /// Average run time in milliseconds, by route.
+    run_ms_by_route: HashMap<String, f64>,
+    /// Unfinished runs, by run number.
+    unfinished_runs: HashMap<u64, UnfinishedRun>,
     last_number: u64,
 }
 
+#[derive(Debug)]
+struct UnfinishedRun {
+    route: String,
+    began: Instant,
+    expected: Duration,
+}
+
 impl Default for Meter {
     fn default() -> Self {
         Self {
             run_ms: INITIAL_RUN_TIME.as_secs_f64() * 1e3,
             slowness: 1.0,
             failure_ratio: 0.0,
+            run_ms_by_route: HashMap::new(),
             unfinished_runs: HashMap::new(),
             last_number: 0,
         }
@@ -38,17 +50,21 @@
 
 impl Meter {
     /// Records the start of a run that is expected to take `expected`; returns the run's number.
-    pub(super) fn begin(&mut self, expected: Duration) -> u64 {
+    pub(super) fn begin(&mut self, route: &str, expected: Duration) -> u64 {
         self.last_number += 1;
-        self.unfinished_runs
-            .insert(self.last_number, (Instant::now(), expected));
+        let run = UnfinishedRun {
+            route: route.to_owned(),
+            began: Instant::now(),
+            expected,
+        };
+        self.unfinished_runs.insert(self.last_number, run);
         self.last_number
     }
 
     /// Records the end of a run. `failed` is `None` if the outcome says nothing about the target,
     /// as when the caller cancelled the request. A failed run changes only the failure ratio.
     pub(super) fn end(&mut self, number: u64, failed: Option<bool>) {
-        let Some((began, expected)) = self.unfinished_runs.remove(&number) else {
+        let Some(run) = self.unfinished_runs.remove(&number) else {
             return;
         };
         let Some(failed) = failed else { return };
@@ -57,9 +73,25 @@
         if failed {
             return;
         }
-        let took = began.elapsed();
-        self.run_ms += NEWEST_RUN_WEIGHT * (took.as_secs_f64() * 1e3 - self.run_ms);
-        self.slowness += NEWEST_RUN_WEIGHT * (slowness_of(took, expected) - self.slowness);
+        let took = run.began.elapsed();
+        let took_ms = took.as_secs_f64() * 1e3;
+        self.run_ms += NEWEST_RUN_WEIGHT * (took_ms - self.run_ms);
+        self.slowness += NEWEST_RUN_WEIGHT * (slowness_of(took, run.expected) - self.slowness);
+        if self.run_ms_by_route.len() >= MAX_ROUTES {
+            self.run_ms_by_route.clear();
+        }
+        let average = self.run_ms_by_route.entry(run.route).or_insert(took_ms);
+        *average += NEWEST_RUN_WEIGHT * (took_ms - *average);
+    }
+
+    /// Expected run time of a request of a route: the average of the successful runs, or, before the
+    /// first, the `expected` one over all targets times the slowness of this one.
+    pub(super) fn expected_run(&self, route: &str, expected: Duration) -> Duration {
+        let average = self.run_ms_by_route.get(route);
+        average.map_or_else(
+            || expected.mul_f64(self.slowness()),
+            |ms| Duration::from_secs_f64(ms / 1e3),
+        )
     }
 
     /// Average run time of the successful runs.
@@ -86,7 +118,7 @@
         }
         let unfinished_runs = self.unfinished_runs.values();
         let mut slowness: Vec<f64> = unfinished_runs
-            .map(|(began, expected)| slowness_of(began.elapsed(), *expected))
+            .map(|run| slowness_of(run.began.elapsed(), run.expected))
             .collect();
         slowness.sort_by(f64::total_cmp);
         self.slowness.max(slowness[slowness.len() / 2])
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -10,6 +10,7 @@
 mod limiter;
 mod meter;
 mod runner;
+mod running;
 
 pub(crate) use identity::Outcome;
 pub(crate) use runner::{Finding, Runner};
--- a/src/target/runner.rs
+++ b/src/target/runner.rs
@@ -16,6 +16,7 @@
 use crate::target::identity::{Identity, Outcome};
 use crate::target::limiter::{Limiter, Permit, Requirements};
 use crate::target::meter::Meter;
+use crate::target::running::{Parent, Running};
 use crate::verdict::{Reason, Refusal};
 
 /// Time before the caller's deadline at which a request that still waits for a slot is refused, so
@@ -38,6 +39,7 @@
     /// Whether the node itself is shutting down.
     draining: AtomicBool,
     in_flight: Arc<Counter>,
+    running: Arc<Running>,
     /// Fingerprints of the requests that were lost within the current [`CRASH_WINDOW`].
     lost_requests: Mutex<Vec<u64>>,
     /// Number of crashes that this process has announced, which is the number of the latest one.
@@ -74,6 +76,7 @@
             unreachable_until: Mutex::new(None),
             draining: AtomicBool::new(false),
             in_flight: Arc::default(),
+            running: Arc::default(),
             lost_requests: Mutex::default(),
             crashes: AtomicU64::new(0),
             presence: watch::channel((Presence::Down, None)).0,
@@ -217,6 +220,12 @@
         self.in_flight.repeated_share()
     }
 
+    /// The request for which the target makes the one with this id, if that runs at the target.
+    pub(crate) fn find_parent(&self, request_id: &str) -> Option<Parent> {
+        let parent_id = self.dialect.parent_request_id(request_id)?;
+        self.running.find(parent_id)
+    }
+
     /// Waits until no request is at the target or waits for a slot.
     pub(crate) async fn wait_until_idle(&self) {
         self.in_flight.wait_until_zero().await;
@@ -244,6 +253,7 @@
             request_id = offer.request_id.as_str(),
             service = offer.service.as_str(),
             target_id = target_id.as_str(),
+            rank = offer.rank,
             waited_ms = millis(waited),
             left_ms = millis(remaining);
             "request got a slot at the target"
@@ -276,13 +286,18 @@
     /// Waits for a slot.
     async fn admit(&self, offer: &Offer) -> Result<Permit, Refusal> {
         let remaining = offer.time_left.saturating_sub(REFUSAL_MARGIN);
-        let average_run = lock(&self.meter).run_time();
+        let (average_run, expected_run) = {
+            let meter = lock(&self.meter);
+            let expected_run = meter.expected_run(&offer.route, offer.expected);
+            (meter.run_time(), expected_run)
+        };
         let requirements = Requirements {
             service: &offer.service,
             rank: offer.rank,
             objective_end: Instant::now() + offer.objective,
             max_wait: offer.max_wait.min(remaining),
-            expected_run: offer.expected,
+            start_limit: remaining,
+            expected_run,
             average_run,
         };
         self.limiter.admit(requirements).await
@@ -300,7 +315,11 @@
             Request::try_from(offer.message).map_err(|_| Refusal::not_run(Reason::BadRequest))?;
         self.dialect
             .set_target_headers(&mut request, target_id, &offer.caller_service, remaining);
-        let run = Run::new(&self.meter, offer.expected);
+        let parent = Parent {
+            repeated: offer.repeated,
+        };
+        let _running = self.running.add(&offer.request_id, parent);
+        let run = Run::new(&self.meter, &offer.route, offer.expected);
         let answers_request =
             |headers: &HeaderMap, is_new_connection: bool| match self.dialect.request_id(headers) {
                 Some(answered_id) => answered_id == offer.request_id,
--- a/src/target/tests/limiter.rs
+++ b/src/target/tests/limiter.rs
@@ -15,6 +15,7 @@
         rank,
         objective_end: Instant::now() + objective,
         max_wait,
+        start_limit: max_wait,
         expected_run: RUN_TIME,
         average_run: RUN_TIME,
     }
--- a/src/telemetry/logger.rs
+++ b/src/telemetry/logger.rs
@@ -15,6 +15,8 @@
 
 /// Maximum number of lines that wait to be written.
 const MAX_QUEUED_LINES: usize = 2_048;
+/// Time for which lines are collected before they are written together.
+const WRITE_INTERVAL: Duration = Duration::from_millis(25);
 /// Sustained rate limit, so that logging takes only a small part of a node's share of a core.
 const LINES_PER_S: f64 = 200.0;
 /// Lines that may be logged at once, enough for one burst of failures.
@@ -80,16 +82,51 @@
 }
 
 fn write_all(commands: &Receiver<Command>, mut out: impl Write) {
-    for command in commands {
+    let mut batch = Batch::default();
+    while let Ok(command) = commands.recv() {
+        batch.add(command);
+        if !batch.is_flush_due() {
+            std::thread::sleep(WRITE_INTERVAL);
+        }
+        for command in commands.try_iter() {
+            batch.add(command);
+        }
+        batch.write(&mut out);
+    }
+}
+
+/// Lines that are written together, because each write wakes a thread and calls the system.
+#[derive(Default)]
+struct Batch {
+    text: String,
+    lines: u64,
+    flushed: Vec<SyncSender<()>>,
+}
+
+impl Batch {
+    fn add(&mut self, command: Command) {
         match command {
             Command::Line(line) => {
-                if writeln!(out, "{line}").is_err() {
-                    DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
-                }
-            }
-            Command::Flush(done) => {
-                let _ = done.try_send(());
+                self.text.push_str(&line);
+                self.text.push('\n');
+                self.lines += 1;
             }
+            Command::Flush(done) => self.flushed.push(done),
+        }
+    }
+
+    fn is_flush_due(&self) -> bool {
+        !self.flushed.is_empty()
+    }
+
+    fn write(&mut self, out: &mut impl Write) {
+        if out.write_all(self.text.as_bytes()).is_err() {
+            DROPPED_LINES.fetch_add(self.lines, Ordering::Relaxed);
+        }
+        self.text.clear();
+        self.lines = 0;
+        for done in self.flushed.drain(..) {
+            let _ = done.try_send(());
         }
     }
 }
--- a/src/telemetry/logger/tests.rs
+++ b/src/telemetry/logger/tests.rs
@@ -5,7 +5,7 @@
 
 use log::{Level, Record};
 
-use super::{BURST_LINES, TokenBucket, dropped_lines, enqueue, format_line};
+use super::{BURST_LINES, Command, TokenBucket, dropped_lines, enqueue, format_line, write_all};
 
 #[test]
 fn a_line_is_one_json_object_with_the_fields_of_the_record() {
@@ -45,3 +45,42 @@
     assert!(admitted <= BURST_LINES, "{admitted}");
     assert!(bucket.try_acquire(true));
 }
+
+/// Counts the writes, each of which costs a call to the system.
+#[derive(Default)]
+struct CountingWriter {
+    writes: usize,
+    text: Vec<u8>,
+}
+
+impl std::io::Write for CountingWriter {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.writes += 1;
+        self.text.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_that_follow_each_other_are_written_together_and_in_order() {
+    let (sender, commands) = sync_channel(200);
+    for number in 0..100 {
+        sender.send(Command::Line(number.to_string())).unwrap();
+    }
+    let (done, written) = sync_channel(1);
+    sender.send(Command::Flush(done)).unwrap();
+    drop(sender);
+    let mut out = CountingWriter::default();
+    write_all(&commands, &mut out);
+    assert!(written.try_recv().is_ok(), "the flush was not confirmed");
+    let lines: Vec<String> = (0..100).map(|number| number.to_string()).collect();
+    assert_eq!(
+        String::from_utf8(out.text).unwrap(),
+        lines.join("\n") + "\n"
+    );
+    assert!(out.writes < 10, "{} writes", out.writes);
+}
