Bound the memory for responses that are being read

Cause: each response of a target could take 64 MiB, and a target may send bytes without end until its node closes the connection: three at a time could end a process on a VM of 160 MB.

Change: all responses that a node reads share an allowance of 16 MiB; reading beyond it fails as a spoiled response that may have run.

Tests: endless bytes in place of a head, in a head, in a body without a length, in a chunk and behind a declared length, eight at a time.

--- a/src/h1/stream.rs
+++ b/src/h1/stream.rs
@@ -1,9 +1,12 @@
 //! Reads messages from, and writes them to, one connection.
 
+use std::sync::Arc;
+
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::Method;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
+use crate::h1::allowance::{Allowance, Share};
 use crate::h1::head::{Framing, Request, Response, parse_request, parse_response};
 
 const READ_CHUNK_BYTES: usize = 16 * 1024;
@@ -26,7 +29,7 @@
     /// The head is larger than allowed.
     #[display("head too large")]
     HeadTooLarge,
-    /// The body is larger than allowed.
+    /// The body is larger than allowed, or than the memory that is left for it.
     #[display("body too large")]
     BodyTooLarge,
 }
@@ -35,6 +38,8 @@
 pub(crate) struct Stream<R> {
     inner: R,
     buffer: BytesMut,
+    /// Part of the memory that this connection shares with others.
+    share: Option<Share>,
 }
 
 impl<R> Stream<R> {
@@ -42,6 +47,15 @@
         Self {
             inner,
             buffer: BytesMut::new(),
+            share: None,
+        }
+    }
+
+    /// Reads only messages that fit into an allowance together with those of other connections.
+    pub(crate) fn with_allowance(inner: R, allowance: Arc<Allowance>) -> Self {
+        Self {
+            share: Some(Share::new(allowance)),
+            ..Self::new(inner)
         }
     }
 
@@ -123,6 +137,9 @@
                 continue;
             }
             response.body = self.read_body(framing, body_limit).await?;
+            if let Some(share) = &mut self.share {
+                share.clear();
+            }
             return Ok(response);
         }
     }
@@ -220,6 +237,12 @@
     async fn fill(&mut self) -> Result<usize, Fault> {
         self.buffer.reserve(READ_CHUNK_BYTES);
         let read = self.inner.read_buf(&mut self.buffer).await;
-        read.map_err(|error| Fault::CutOff(error.to_string()))
+        let read = read.map_err(|error| Fault::CutOff(error.to_string()))?;
+        if let Some(share) = &mut self.share
+            && !share.grow(read)
+        {
+            return Err(Fault::BodyTooLarge);
+        }
+        Ok(read)
     }
 }
--- a/src/h1/tests.rs
+++ b/src/h1/tests.rs
@@ -3,7 +3,7 @@
 use bytes::BytesMut;
 use hyper::Method;
 
-use crate::h1::{Fault, Framing, Stream};
+use crate::h1::{Allowance, Fault, Framing, Stream};
 
 async fn request(bytes: &[u8]) -> Result<(String, Vec<u8>), Fault> {
     let mut stream = Stream::new(bytes);
@@ -96,3 +96,41 @@
     let (_, framing) = stream.read_request_head(1024).await.unwrap();
     assert_eq!(framing, Framing::Empty);
 }
+
+/// A response of 10 bytes, of which the last one arrives only when the sender is dropped.
+const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n123456789";
+
+/// Memory for one response of [`RESPONSE`] and half of another.
+fn allowance_for_one_response() -> std::sync::Arc<Allowance> {
+    Allowance::new(RESPONSE.len() * 3 / 2)
+}
+
+#[tokio::test]
+async fn connections_that_read_at_the_same_time_share_the_memory() {
+    let allowance = allowance_for_one_response();
+    let (mut sender, receiver) = tokio::io::duplex(1024);
+    tokio::io::AsyncWriteExt::write_all(&mut sender, RESPONSE)
+        .await
+        .unwrap();
+    let mut first = Stream::with_allowance(receiver, allowance.clone());
+    let first = tokio::spawn(async move { first.read_response(&Method::GET, 1024).await });
+    while allowance.left() > RESPONSE.len() {
+        tokio::task::yield_now().await;
+    }
+    let mut second = Stream::with_allowance(RESPONSE, allowance.clone());
+    let refused = second.read_response(&Method::GET, 1024).await;
+    assert!(matches!(refused, Err(Fault::BodyTooLarge)), "{refused:?}");
+    drop(second);
+    first.abort();
+    assert!(first.await.is_err());
+    assert_eq!(allowance.left(), RESPONSE.len() * 3 / 2);
+}
+
+#[tokio::test]
+async fn memory_is_free_again_after_a_response() {
+    let allowance = allowance_for_one_response();
+    let whole = [RESPONSE, b"0"].concat();
+    let mut stream = Stream::with_allowance(&whole[..], allowance.clone());
+    assert!(stream.read_response(&Method::GET, 1024).await.is_ok());
+    assert_eq!(allowance.left(), RESPONSE.len() * 3 / 2);
+}
--- a/src/target/connection.rs
+++ b/src/target/connection.rs
@@ -1,13 +1,13 @@
 //! Pool of HTTP/1.1 connections to the target, with one request at a time on each.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use hyper::header::HeaderMap;
 use tokio::net::TcpStream;
 
-use crate::h1::{Fault, Request, Response, Stream};
+use crate::h1::{Allowance, Fault, Request, Response, Stream};
 
 /// Timeout for opening a connection to the target, which is on the same VM; several times what it
 /// takes at a busy target.
@@ -20,8 +20,9 @@
 const MAX_IDLE_TIME_NON_IDEMPOTENT: Duration = Duration::from_secs(1);
 /// Most idle connections that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 24;
-/// Largest response body that is read.
-const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+/// Bytes that the responses which are being read may have together. A target may send bytes without
+/// end, on several connections, and the smallest VMs have 160 MB.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
 /// Why a request got no usable response.
 #[derive(Debug, derive_more::Display)]
@@ -48,6 +49,7 @@
 pub(super) struct Connections {
     address: SocketAddr,
     idle: Mutex<Vec<IdleConnection>>,
+    allowance: Arc<Allowance>,
 }
 
 impl Connections {
@@ -55,6 +57,7 @@
         Self {
             address,
             idle: Mutex::new(Vec::new()),
+            allowance: Allowance::new(MAX_RESPONSE_BYTES),
         }
     }
 
@@ -116,7 +119,7 @@
             .map_err(|_| Failure::NotSent("timed out".into()))?
             .map_err(not_sent)?;
         stream.set_nodelay(true).map_err(not_sent)?;
-        Ok(Stream::new(stream))
+        Ok(Stream::with_allowance(stream, self.allowance.clone()))
     }
 
     /// Takes an idle connection that was used less than `max_idle` ago. Drops those that the target
--- a/src/target/tests/runner.rs
+++ b/src/target/tests/runner.rs
@@ -311,3 +311,40 @@
     assert!(run(&fixture.runner, false).await.is_ok());
     assert_eq!(fixture.target.connections(), 3);
 }
+
+/// Sends eight requests at a time to a target that answers each with this text and then bytes without
+/// end. All must fail, after at most as many bytes each as all of them may use at a time.
+async fn check_endless_bytes(text: &'static str) {
+    let fixture = fixture(&[Action::Endless(text)]).await;
+    let requests = (0..8).map(|_| run(&fixture.runner, true));
+    for outcome in futures_util::future::join_all(requests).await {
+        let refusal = outcome.unwrap_err();
+        assert_eq!(refusal.verdict, Verdict::MayHaveRun, "{refusal}");
+    }
+    // What the sockets buffered was not read by the node.
+    let buffered = 8 * 6 * 1024 * 1024;
+    let read = fixture.target.endless_bytes();
+    assert!(read < 8 * 16 * 1024 * 1024 + buffered, "{read} bytes");
+}
+
+macro_rules! endless_bytes_tests {
+    ($($name:ident: $text:expr,)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            check_endless_bytes($text).await;
+        })*
+    };
+}
+
+endless_bytes_tests! {
+    bytes_without_end_in_place_of_a_response_are_given_up: "",
+    a_response_head_without_end_is_given_up: "HTTP/1.1 200 OK\r\nx-filler: ",
+    a_response_body_without_end_is_given_up:
+        "HTTP/1.1 200 OK\r\nbluebellgap-request-id: {id}\r\nbluebellgap-server-stamp: s\r\n\r\n",
+    a_chunk_without_end_is_given_up:
+        "HTTP/1.1 200 OK\r\nbluebellgap-request-id: {id}\r\nbluebellgap-server-stamp: s\r\n\
+         transfer-encoding: chunked\r\n\r\nfffffff\r\n",
+    a_declared_body_larger_than_the_memory_is_given_up:
+        "HTTP/1.1 200 OK\r\nbluebellgap-request-id: {id}\r\nbluebellgap-server-stamp: s\r\n\
+         content-length: 68719476736\r\n\r\n",
+}
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -30,6 +30,8 @@
     Close,
     /// Keeps the connection open without an answer until the client closes it.
     NeverAnswer,
+    /// Writes this text, then bytes without end until the client closes the connection.
+    Endless(&'static str),
 }
 
 /// A complete answer of a target with status 200.
@@ -48,6 +50,7 @@
     requests: Arc<AtomicU32>,
     connections: Arc<AtomicU32>,
     abandoned_requests: Arc<AtomicU32>,
+    endless_bytes: Arc<AtomicU32>,
     headers: Arc<std::sync::Mutex<Vec<HeaderMap>>>,
 }
 
@@ -59,6 +62,7 @@
             requests: Arc::default(),
             connections: Arc::default(),
             abandoned_requests: Arc::default(),
+            endless_bytes: Arc::default(),
             headers: Arc::default(),
         };
         let (acceptor, script) = (target.clone(), script.to_vec());
@@ -95,6 +99,13 @@
                     return;
                 }
                 Action::Close => return,
+                Action::Endless(text) => {
+                    let _ = writer.write_all(text.replace("{id}", id).as_bytes()).await;
+                    while writer.write_all(&vec![b'1'; 65_536]).await.is_ok() {
+                        self.endless_bytes.fetch_add(65_536, Ordering::Relaxed);
+                    }
+                    return;
+                }
                 Action::NeverAnswer => {
                     let _ = reader.wait_for_bytes().await;
                     self.abandoned_requests.fetch_add(1, Ordering::Relaxed);
@@ -119,6 +130,11 @@
         self.abandoned_requests.load(Ordering::Relaxed)
     }
 
+    /// Number of bytes written by [`Action::Endless`].
+    pub(crate) fn endless_bytes(&self) -> u32 {
+        self.endless_bytes.load(Ordering::Relaxed)
+    }
+
     /// Value of a header of the last request received.
     pub(crate) fn header(&self, name: &str) -> String {
         let headers = self.headers.lock().unwrap();
