Skip entries that no node can have announced

Cause: a row of another writer for this node's own name with the largest incarnation made the node compute the next one: an overflow, which ends the task that follows the table (in a build with overflow checks) or sets the incarnation to 0.

Change: entries with an impossible incarnation or address are skipped, from the store and from peers, with a log line.

Tests: twelve odd rows (not JSON, nested 30,000 deep, numbers too large, port out of range, other names, largest numbers) beside a good one that must be applied, and a caller that must be served.

--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -17,6 +17,9 @@
 /// (`RequestLimits::body_bytes`) and the largest response body that is read from a target.
 const MAX_FRAME_BYTES: usize = 72 * 1024 * 1024;
 
+/// Start of the year 2200, in milliseconds since 1970.
+const MAX_INCARNATION: u64 = 7_258_118_400_000;
+
 /// Identifies one offer of one request; a random number chosen by the offering node.
 pub(crate) type OfferId = u64;
 
@@ -194,6 +197,14 @@
         hash.digest()
     }
 
+    /// Whether a node can have announced this entry; other programs may write rows too. An incarnation
+    /// is the time of a start, and a node whose entry conflicts raises its own above it.
+    pub(crate) fn is_plausible(&self) -> bool {
+        let ip = self.address.ip();
+        let reachable = self.address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast();
+        reachable && !self.node.is_empty() && self.incarnation < MAX_INCARNATION
+    }
+
     /// Whether this entry replaces `other`, an entry of the same node.
     pub(crate) fn is_newer_than(&self, other: &Self) -> bool {
         (self.incarnation, self.revision) > (other.incarnation, other.revision)
--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -139,6 +139,7 @@
         let own = self.own_entry();
         let (own_entries, others): (Vec<Entry>, Vec<Entry>) = entries
             .into_iter()
+            .filter(Entry::is_plausible)
             .partition(|entry| entry.node == own.node);
         for entry in &own_entries {
             self.reconcile_own(entry);
--- a/src/sidecar/tasks.rs
+++ b/src/sidecar/tasks.rs
@@ -224,6 +224,14 @@
         );
         return None;
     }
+    if !entry.is_plausible() {
+        log::warn!(
+            event = "row_rejected",
+            key = row.key.as_str();
+            "row ignored; no node announces such an address or incarnation"
+        );
+        return None;
+    }
     let own = hub.own_entry();
     if entry.node == own.node && own.is_newer_than(&entry) {
         // A delayed write replaced the newer entry: write it again.
--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -10,6 +10,7 @@
 use crate::dialect::{Heartbeat, Phase};
 use crate::forward::Limits;
 use crate::platform::sample;
+use crate::sidecar::tasks::NODE_TABLE;
 use crate::sidecar::{Listen, Settings, Shutdown, Sidecar};
 use crate::standin::{StoreFault, StoreServer};
 use crate::testing::{Action, GOOD, ScriptedTarget, read_to_end, until};
@@ -174,3 +175,67 @@
     leaving.await.unwrap();
     assert_eq!(target.requests(), 1);
 }
+
+/// An entry of the node `name` as JSON, with one field replaced by this JSON text.
+fn odd_entry(name: &str, field: &str, json: &str) -> String {
+    let entry = crate::testing::entry(name, "bkk", "bkk-a", 1);
+    let mut value = serde_json::to_value(entry).unwrap();
+    value[field] = "REPLACED".into();
+    value.to_string().replace("\"REPLACED\"", json)
+}
+
+/// Runs a node, leaves an odd row in the table of the nodes' entries, and checks that the node goes on
+/// following the table and serving callers.
+async fn check_odd_row(key: &str, value: &str) {
+    let store = store().await;
+    let target = ScriptedTarget::start(&[Action::Answer(GOOD)]).await;
+    let node = Sidecar::start(settings("own", &store, target.address)).unwrap();
+    send_heartbeat(&node);
+    until("version 1 in force", || node.version() == 1).await;
+    let announced = || store.keys(NODE_TABLE).iter().any(|key| key == "own");
+    until("own entry written", announced).await;
+    store.put(NODE_TABLE, key, value);
+    let good = serde_json::to_string(&crate::testing::entry("good", "bkk", "bkk-b", 1)).unwrap();
+    store.put(NODE_TABLE, "good", &good);
+    until("entry written after the odd one applied", || {
+        node.hub.directory.find("good").is_some()
+    })
+    .await;
+    let odd = node.hub.directory.find("odd");
+    assert!(odd.is_none(), "an entry that no node announces is in use");
+    let own = node.hub.own_entry();
+    assert!(own.incarnation < u64::MAX / 2, "{own:?}");
+    let answer = send_request(node.caller_address(), 3_000).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+macro_rules! odd_row_tests {
+    ($($name:ident: $key:expr, $value:expr;)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            check_odd_row($key, &$value).await;
+        })*
+    };
+}
+
+odd_row_tests! {
+    a_row_that_is_not_json_is_skipped: "odd", "\u{0}\u{1f}not json";
+    an_empty_row_is_skipped: "odd", "";
+    a_deeply_nested_row_is_skipped: "odd", "[".repeat(30_000);
+    a_row_with_a_deeply_nested_field_is_skipped: "odd",
+        odd_entry("odd", "target", &format!("{}{}", "[".repeat(20_000), "]".repeat(20_000)));
+    a_row_with_a_number_that_is_too_large_is_skipped: "odd",
+        odd_entry("odd", "incarnation", "184467440737095516160");
+    a_row_with_a_port_out_of_range_is_skipped: "odd",
+        odd_entry("odd", "address", "\"127.0.0.9:70000\"");
+    a_row_with_port_0_is_skipped: "odd", odd_entry("odd", "address", "\"127.0.0.9:0\"");
+    a_row_of_another_node_than_its_key_is_skipped: "odd",
+        odd_entry("another", "revision", "3");
+    a_row_with_an_empty_key_is_skipped: "", odd_entry("", "revision", "3");
+    a_row_of_this_node_with_the_largest_incarnation_is_skipped: "own",
+        odd_entry("own", "incarnation", &u64::MAX.to_string());
+    a_row_of_another_node_with_the_largest_incarnation_is_skipped: "odd",
+        odd_entry("odd", "incarnation", &u64::MAX.to_string());
+    a_row_of_this_node_with_the_largest_revision_is_skipped: "own",
+        odd_entry("own", "revision", &u64::MAX.to_string());
+}
