Keep requests near while far targets are known to be full

Cause: with all near targets full, the first target without a recent report was chosen, which is one of another region; under overload it refuses after 60 to 90 ms, and so does the next. Calls that targets make (deadline 400 ms) spent it on two such trips, because the queue of requests that they would overtake counted in the cost of the near ones; the requests that had made them held their slots meanwhile: runs at the registry took 326 ms instead of 181 ms from second 6 on, and nearly no call reached the library.

Change: overload::placement decides which target is tried and how long a request waits there. A target of another region is tried only if its data centre has not refused one in the last second and there is time for the trip; a call of a running request stays near and waits for the next slot.

--- a/src/directory/endpoint.rs
+++ b/src/directory/endpoint.rs
@@ -85,6 +85,21 @@
     /// Share of the latency objective that distance adds to the cost.
     pub(super) distance_penalty: f64,
     pub(super) same_data_center: bool,
+    /// Whether the target is in another region.
+    pub(crate) remote: bool,
+}
+
+/// What the cost of a target for a request depends on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Demand<'a> {
+    /// Service that the request goes to.
+    pub service: &'a str,
+    /// Average latency of the route.
+    pub expected_latency: Duration,
+    /// Latency objective of the route.
+    pub objective: Duration,
+    /// Whether a target makes the request while it runs another one.
+    pub nested: bool,
 }
 
 /// Counts a request as in flight at a target until it is dropped.
@@ -171,10 +186,10 @@
         self.occupancy(&samples) < f64::from(slots) * SPARE_SLOTS_SHARE
     }
 
-    /// Estimated time until the target answers a request of a route with the given average latency
-    /// and objective, plus penalties for failures, a recent refusal and distance. The lowest cost
+    /// Estimated time until the target answers a request, plus penalties for failures, a recent refusal and distance. The lowest cost
     /// is best.
-    pub(crate) fn cost(&self, expected_latency: Duration, objective: Duration) -> Duration {
+    pub(crate) fn cost(&self, demand: &Demand<'_>) -> Duration {
+        let expected_latency = demand.expected_latency;
         let samples = *self.stats.lock();
         let slots = f64::from(self.slots());
         let occupancy = self.occupancy(&samples);
@@ -183,6 +198,8 @@
         let mut seconds = run * (1.0 + FULL_SLOWDOWN * utilization * utilization);
         let queued = occupancy + 1.0 - slots;
         if queued > 0.0 {
+            // A nested call goes before the queue, and waits for the next free slot only.
+            let queued = if demand.nested { 1.0 } else { queued };
             seconds += queued / slots * f64::from(samples.load.run_ms) / 1e3;
         }
         let reported_at = samples.load_received_at;
@@ -197,7 +214,7 @@
         {
             seconds += run;
         }
-        seconds += self.distance_penalty * objective.as_secs_f64();
+        seconds += self.distance_penalty * demand.objective.as_secs_f64();
         self.round_trip() + Duration::from_secs_f64(seconds)
     }
 
--- a/src/directory/index.rs
+++ b/src/directory/index.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::ArcSwap;
 
-use crate::directory::endpoint::{Endpoint, Stats};
+use crate::directory::endpoint::{Demand, Endpoint, Stats};
 use crate::link::{Entry, Handler, Link, Update};
 use crate::roster::Presence;
 
@@ -185,6 +185,7 @@
         let first_seen = same.map_or_else(Instant::now, |known| known.first_seen);
         let distance = self.distance(&entry);
         let same_data_center = entry.data_center == self.locality.data_center;
+        let remote = entry.region != self.locality.region;
         if !is_own {
             log::info!(
                 event = "entry",
@@ -205,6 +206,7 @@
             default_round_trip: distance.default_round_trip,
             distance_penalty: distance.penalty,
             same_data_center,
+            remote,
         };
         state.endpoints.insert(node, Arc::new(endpoint));
         true
@@ -296,15 +298,9 @@
 
     /// Endpoints of a service that accept new requests and whose nodes are not in `excluded`, the
     /// one with the lowest cost first.
-    pub(crate) fn rank(
-        &self,
-        service: &str,
-        expected_latency: Duration,
-        objective: Duration,
-        excluded: &[String],
-    ) -> Vec<Arc<Endpoint>> {
+    pub(crate) fn rank(&self, demand: &Demand<'_>, excluded: &[String]) -> Vec<Arc<Endpoint>> {
         let by_service = self.by_service.load();
-        let Some(endpoints) = by_service.get(service) else {
+        let Some(endpoints) = by_service.get(demand.service) else {
             return Vec::new();
         };
         let is_candidate = |endpoint: &&Arc<Endpoint>| {
@@ -313,7 +309,7 @@
         let mut ranked: Vec<(Duration, &Arc<Endpoint>)> = endpoints
             .iter()
             .filter(is_candidate)
-            .map(|endpoint| (endpoint.cost(expected_latency, objective), endpoint))
+            .map(|endpoint| (endpoint.cost(demand), endpoint))
             .collect();
         ranked.sort_by_key(|(cost, _)| *cost);
         ranked.into_iter().map(|(_, e)| e.clone()).collect()
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::directory::{Directory, Locality};
+use crate::directory::{Demand, Directory, Locality};
 use crate::link::{Entry, Load};
 use crate::roster::Presence;
 use crate::testing::{self, NullHandler};
@@ -12,6 +12,12 @@
 const EXPECTED: Duration = Duration::from_millis(100);
 /// Latency objective of its route.
 const OBJECTIVE: Duration = Duration::from_millis(800);
+const DEMAND: Demand = Demand {
+    service: "booking",
+    expected_latency: EXPECTED,
+    objective: OBJECTIVE,
+    nested: false,
+};
 
 fn entry(node: &str, region: &str, data_center: &str, incarnation: u64, revision: u64) -> Entry {
     Entry {
@@ -44,7 +50,7 @@
 
 /// Names of the nodes of the ranked targets, best first.
 fn ranked(directory: &Directory, excluded: &[String]) -> Vec<String> {
-    let ranked = directory.rank("booking", EXPECTED, OBJECTIVE, excluded);
+    let ranked = directory.rank(&DEMAND, excluded);
     ranked.iter().map(|e| e.entry.node.clone()).collect()
 }
 
@@ -148,9 +154,9 @@
 async fn reported_slowness_fades_over_time() {
     let directory = three_targets();
     directory.find("near").unwrap().record_load(load(0, 900, 0));
-    let slow = directory.find("near").unwrap().cost(EXPECTED, OBJECTIVE);
+    let slow = directory.find("near").unwrap().cost(&DEMAND);
     tokio::time::sleep(Duration::from_millis(1_100)).await;
-    let later = directory.find("near").unwrap().cost(EXPECTED, OBJECTIVE);
+    let later = directory.find("near").unwrap().cost(&DEMAND);
     assert!(later < slow.mul_f64(0.85), "{later:?} after {slow:?}");
 }
 
--- a/src/forward/call.rs
+++ b/src/forward/call.rs
@@ -5,8 +5,10 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::directory;
 use crate::h1::Request;
 use crate::link::{Message, Offer};
+use crate::overload::placement;
 use crate::overload::queue::effective_rank;
 use crate::route::CompiledRoute;
 
@@ -79,6 +81,28 @@
             .saturating_sub(self.age + self.received_at.elapsed())
     }
 
+    /// What the cost of a target depends on.
+    pub(super) fn demand(&self) -> directory::Demand<'_> {
+        directory::Demand {
+            service: &self.service,
+            expected_latency: self.expected_latency,
+            objective: self.route.objective,
+            nested: self.nested,
+        }
+    }
+
+    /// What the choice of a target depends on.
+    pub(super) fn placement(&self, overload_refusals: usize) -> placement::Demand {
+        placement::Demand {
+            objective: self.route.objective,
+            objective_left: self.objective_left(),
+            time_left: self.time_left(),
+            expected_latency: self.expected_latency,
+            nested: self.nested,
+            overload_refusals,
+        }
+    }
+
     /// Builds the offer of one attempt to the node beside a target. The request may wait there for
     /// a slot for `max_wait`; `repeated` says whether an earlier attempt may have reached a target.
     /// A nested call is in time as long as the request that it belongs to can still get its answer.
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -17,20 +17,16 @@
 use crate::forward::budget::{Budget, Limits};
 use crate::forward::call::Call;
 use crate::forward::latency::{Averages, UsualTimes};
+use crate::forward::overloads::Overloads;
 use crate::h1::{Request, Response};
 use crate::ingress::Handler;
+use crate::overload::placement::{self, Candidate};
 use crate::roster::Suspicions;
 use crate::target::Runner;
 use crate::telemetry::{Counters, Histograms};
 use crate::verdict::{Reason, Refusal, Verdict};
 use crate::version::Config;
 
-/// Share of the latency objective for which a request may wait for a slot at a target while other
-/// targets remain to be tried.
-const QUEUE_WAIT_SHARE: f64 = 0.125;
-/// Overload refusals after which a request waits for a slot at the best target that is left,
-/// instead of trying more.
-const MAX_OVERLOAD_REFUSALS: usize = 2;
 /// Share of the latency objective after which an idempotent request is hedged: sent to a second
 /// target as well.
 const HEDGE_DELAY_OBJECTIVE_SHARE: f64 = 0.6;
@@ -78,6 +74,7 @@
     budget: Budget,
     latencies: Averages,
     usual_times: UsualTimes,
+    overloads: Overloads,
 }
 
 #[async_trait]
@@ -135,6 +132,7 @@
             budget: Budget::new(limits),
             latencies: Averages::default(),
             usual_times: UsualTimes::default(),
+            overloads: Overloads::default(),
         }
     }
 
@@ -237,13 +235,15 @@
     async fn dispatch(&self, call: &Call) -> Result<Response, Refusal> {
         let mut progress = Progress::default();
         loop {
-            let ranked = self.directory.rank(
-                &call.service,
-                call.expected_latency,
-                call.route.objective,
-                &progress.excluded_nodes,
-            );
-            let Some(endpoint) = ranked.first() else {
+            let ranked = self
+                .directory
+                .rank(&call.demand(), &progress.excluded_nodes);
+            let candidates: Vec<Candidate> = ranked
+                .iter()
+                .map(|endpoint| self.candidate(call, endpoint))
+                .collect();
+            let demand = call.placement(progress.overload_refusals);
+            let Some(choice) = placement::choose(&candidates, &demand) else {
                 if progress.overload_refusals == 0 && may_wait_for_target(call) {
                     tokio::time::sleep(TARGET_LOOKUP_INTERVAL).await;
                     // No other target is left, so those already tried are tried again.
@@ -252,34 +252,40 @@
                 }
                 return progress.finish(Refusal::not_run(Reason::NoTarget));
             };
-            let endpoint_not_full = ranked.iter().find(|endpoint| !endpoint.is_full());
-            // With no better target to try, let the request queue as long as its deadline allows.
-            let wait_for_slot = progress.overload_refusals >= MAX_OVERLOAD_REFUSALS
-                || ranked.len() == 1
-                || endpoint_not_full.is_none();
-            let endpoint = if wait_for_slot {
-                endpoint
-            } else {
-                endpoint_not_full.unwrap_or(endpoint)
-            };
-            let max_wait = max_queue_wait(call, wait_for_slot);
+            let endpoint = &ranked[choice.index];
             let result = self
-                .attempt_with_hedge(call, endpoint, max_wait, &mut progress)
+                .attempt_with_hedge(call, endpoint, choice.max_wait, &mut progress)
                 .await;
             let refusal = match result {
                 Ok(response) => return Ok(response),
                 Err(refusal) => refusal,
             };
             let overloaded = refusal.reason == Reason::Overloaded;
+            if overloaded {
+                self.overloads
+                    .record(&call.service, &endpoint.entry.data_center);
+            }
             progress.overload_refusals += usize::from(overloaded);
             progress.excluded_nodes.push(endpoint.entry.node.clone());
             progress.record(refusal);
-            if overloaded && wait_for_slot || !self.may_retry(call, &mut progress) {
+            if overloaded && choice.last || !self.may_retry(call, &mut progress) {
                 return progress.finish(refusal);
             }
         }
     }
 
+    /// What the choice of a target for a call depends on at one endpoint.
+    fn candidate(&self, call: &Call, endpoint: &Endpoint) -> Candidate {
+        Candidate {
+            full: endpoint.is_full(),
+            round_trip: endpoint.round_trip(),
+            remote: endpoint.remote,
+            overloaded_for: self
+                .overloads
+                .elapsed(&call.service, &endpoint.entry.data_center),
+        }
+    }
+
     /// Whether another attempt is worthwhile in the time left, safe, and allowed by the route and
     /// the retry budget. Withdraws from the budget if an earlier attempt may have reached a target.
     fn may_retry(&self, call: &Call, progress: &mut Progress) -> bool {
@@ -383,12 +389,7 @@
     ) -> Option<Arc<Endpoint>> {
         let mut excluded = progress.excluded_nodes.clone();
         excluded.push(first_endpoint.entry.node.clone());
-        let ranked = self.directory.rank(
-            &call.service,
-            call.expected_latency,
-            call.route.objective,
-            &excluded,
-        );
+        let ranked = self.directory.rank(&call.demand(), &excluded);
         let candidate = ranked.into_iter().next()?;
         let nodes = self.directory.len();
         let allowed = progress.attempts_at_targets + 1 < call.route.attempts
@@ -461,14 +462,6 @@
     }
 }
 
-/// Longest time that a call may wait for a slot at a target.
-fn max_queue_wait(call: &Call, wait_for_slot: bool) -> Duration {
-    if wait_for_slot {
-        return call.time_left().saturating_sub(call.expected_latency);
-    }
-    call.route.objective.mul_f64(QUEUE_WAIT_SHARE)
-}
-
 /// Whether a call for which no target is left to try may wait for one.
 fn may_wait_for_target(call: &Call) -> bool {
     call.received_at.elapsed() < call.route.objective.mul_f64(TARGET_WAIT_SHARE)
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -5,6 +5,7 @@
 mod call;
 mod forwarder;
 mod latency;
+mod overloads;
 
 pub(crate) use budget::Limits;
 pub(crate) use forwarder::Forwarder;
--- a/src/overload/tests.rs
+++ b/src/overload/tests.rs
@@ -3,6 +3,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::overload::placement::{self, Candidate, choose};
 use crate::overload::queue::{Admission, Demand, Queue, effective_rank};
 use crate::overload::returning::UsualTime;
 use crate::standin::pattern::{Outcome, Pattern, nested_calls, plain_crest, replay};
@@ -172,3 +173,88 @@
     usual.estimate_age(Duration::from_hours(1), timeout);
     assert!(usual.estimate_age(timeout, timeout) < ms(100));
 }
+
+const NEAR: Candidate = Candidate {
+    full: false,
+    round_trip: ms(1),
+    remote: false,
+    overloaded_for: None,
+};
+const NEAR_FULL: Candidate = Candidate { full: true, ..NEAR };
+const FAR: Candidate = Candidate {
+    round_trip: ms(60),
+    remote: true,
+    ..NEAR
+};
+const FAR_REFUSED: Candidate = Candidate {
+    overloaded_for: Some(ms(300)),
+    ..FAR
+};
+
+/// Index of the chosen candidate, and whether a refusal there is final.
+fn placed(
+    candidates: &[Candidate],
+    objective_left: Duration,
+    nested: bool,
+    overload_refusals: usize,
+) -> (usize, bool) {
+    let demand = placement::Demand {
+        objective: ms(500),
+        objective_left,
+        time_left: ms(1_000),
+        expected_latency: ms(150),
+        nested,
+        overload_refusals,
+    };
+    let choice = choose(candidates, &demand).unwrap();
+    (choice.index, choice.last)
+}
+
+macro_rules! placement_tests {
+    ($($name:ident: $candidates:expr, $left_ms:expr, $nested:expr, $refusals:expr => $choice:expr,)*) => {
+        $(#[test]
+        fn $name() {
+            assert_eq!(placed(&$candidates, ms($left_ms), $nested, $refusals), $choice);
+        })*
+    };
+}
+
+placement_tests! {
+    the_cheapest_target_that_is_not_full_is_chosen: [NEAR_FULL, NEAR], 500, false, 0 => (1, false),
+    a_far_target_is_tried_while_the_near_ones_are_full:
+        [NEAR_FULL, FAR], 500, false, 0 => (1, false),
+    a_far_target_known_to_be_full_is_not_tried:
+        [NEAR_FULL, FAR_REFUSED], 500, false, 0 => (0, true),
+    a_far_target_is_not_tried_with_too_little_time: [NEAR_FULL, FAR], 100, false, 0 => (0, true),
+    after_two_refusals_the_request_waits_at_the_cheapest_target:
+        [NEAR_FULL, NEAR], 500, false, 2 => (0, true),
+    a_nested_call_stays_near_although_the_target_is_full:
+        [NEAR_FULL, FAR], 500, true, 0 => (0, false),
+}
+
+#[test]
+fn a_nested_call_may_wait_for_its_objective_at_each_target() {
+    let demand = placement::Demand {
+        objective: ms(120),
+        objective_left: ms(120),
+        time_left: ms(400),
+        expected_latency: ms(40),
+        nested: true,
+        overload_refusals: 0,
+    };
+    let choice = choose(&[NEAR_FULL, FAR], &demand).unwrap();
+    assert_eq!(choice.max_wait, ms(120));
+}
+
+#[test]
+fn nothing_is_chosen_without_a_target() {
+    let demand = placement::Demand {
+        objective: ms(500),
+        objective_left: ms(500),
+        time_left: ms(500),
+        expected_latency: ms(50),
+        nested: false,
+        overload_refusals: 0,
+    };
+    assert_eq!(choose(&[], &demand), None);
+}
