Keep idempotent requests at a peer that misses one attempt to reconnect

Change: they are given up once the peer has been unreachable since the first failed attempt for longer than one attempt takes; at once if the peer's process has ended.

Test: red before (connection lost instead of the answer).

--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -29,6 +29,10 @@
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
 /// Pause before the next attempt to connect to an unreachable peer when no request waits for it.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(500);
+/// Time since the first failed attempt to connect after which idempotent requests are given up, so
+/// that they can be sent elsewhere. Longer than one attempt: a peer that is short of processor time
+/// or bandwidth may miss one while its target works on the requests.
+const MIN_UNREACHABLE_TIME: Duration = Duration::from_millis(300);
 /// Time without acknowledgements after which the kernel closes the connection (`TCP_USER_TIMEOUT`).
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -58,6 +62,11 @@
 }
 
 impl Shared {
+    fn unreachable_for(&self) -> Option<Duration> {
+        let since = *self.failing_since.lock().ok()?;
+        since.map(|since| since.elapsed())
+    }
+
     fn set_failing(&self, failing: bool) {
         let mut since = self
             .failing_since
@@ -161,8 +170,7 @@
 
     /// Time since the first of the failed attempts to connect; `None` if the last one succeeded.
     pub(crate) fn unreachable_for(&self) -> Option<Duration> {
-        let since = *self.shared.failing_since.lock().ok()?;
-        since.map(|since| since.elapsed())
+        self.shared.unreachable_for()
     }
 
     /// Round-trip time measured when the link last connected; `None` before the first connection.
@@ -438,10 +446,13 @@
         }
     }
 
-    /// Refuses the unanswered requests that need not wait for the peer: idempotent ones, and all if
-    /// the peer's process has ended and can no longer answer. Drops those without a recipient.
+    /// Refuses the unanswered requests that need not wait for the peer: idempotent ones once it has
+    /// been unreachable for [`MIN_UNREACHABLE_TIME`], and all if the peer's process has ended and
+    /// can no longer answer. Drops those without a recipient.
     fn refuse_pending(&mut self, process_ended: bool) {
-        let refused = |pending: &PendingOffer| process_ended || pending.idempotent;
+        let unreachable_for = self.shared.unreachable_for().unwrap_or_default();
+        let give_up = unreachable_for >= MIN_UNREACHABLE_TIME;
+        let refused = |pending: &PendingOffer| process_ended || pending.idempotent && give_up;
         let offer_ids: Vec<OfferId> = self
             .pending
             .iter()
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -265,6 +265,19 @@
     assert_eq!(verdict(&reply), LOST);
 }
 
+/// Guards against requests that are given up while their target works on them, because their node is
+/// short of processor time or bandwidth for a moment.
+#[tokio::test]
+async fn an_idempotent_request_survives_one_failed_attempt_to_reconnect() {
+    let (reply, started) = offer_on_disrupted_link(true, async |relay| {
+        relay.dropping.store(true, Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_millis(1_300)).await;
+        relay.dropping.store(false, Ordering::Relaxed);
+    })
+    .await;
+    assert_eq!((verdict(&reply), started), (None, 1));
+}
+
 #[tokio::test]
 async fn a_non_idempotent_request_waits_until_its_node_responds_again() {
     let (reply, started) = offer_on_disrupted_link(false, async |relay| {
