Announce a departed target, so that a restarted node ignores its late heartbeats

Cause (reported by operators of similar systems): after a departure the node's entry named no target. A process that started afterwards knew nothing of it, and a late heartbeat, or one with a sequence number above the last announced one, brought the target back into use.

Change: the entry keeps the departed target with the highest sequence number, also if the process that received the notice knew the target only from its own restart.

--- a/src/target/runner.rs
+++ b/src/target/runner.rs
@@ -31,6 +31,7 @@
 pub(crate) struct Runner {
     dialect: Arc<dyn Dialect>,
     identity: Mutex<Identity>,
+    last_targets: Mutex<LastTargets>,
     limiter: Arc<Limiter>,
     meter: Arc<Mutex<Meter>>,
     connections: Connections,
@@ -48,6 +49,16 @@
     findings: mpsc::UnboundedSender<Finding>,
 }
 
+/// Targets beside the node that are not the current one.
+#[derive(Default)]
+struct LastTargets {
+    /// Target that an earlier process of the node announced.
+    restored: Option<Target>,
+    /// Target that departed last, with the highest sequence number, because none of its heartbeats
+    /// counts any more.
+    departed: Option<Target>,
+}
+
 /// An observation about requests that are suspected of crashing targets.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Finding {
@@ -69,6 +80,7 @@
         Arc::new(Self {
             dialect,
             identity: Mutex::default(),
+            last_targets: Mutex::default(),
             limiter: Limiter::new(),
             meter: Arc::default(),
             connections: Connections::new(address),
@@ -129,6 +141,7 @@
         let mut identity = lock(&self.identity);
         if identity.current().is_none() {
             identity.restore(&target.id, target.started_ms, target.sequence);
+            lock(&self.last_targets).restored = Some(target.clone());
         }
     }
 
@@ -139,14 +152,30 @@
 
     /// Applies a target's notice that it is leaving for good.
     pub(crate) fn apply_departure(self: &Arc<Self>, id: &str, started_ms: Option<u64>) {
-        if lock(&self.identity).apply_departure(id, started_ms, now_ms()) {
+        let mut identity = lock(&self.identity);
+        let current = identity.current().map(announced_target);
+        let is_current = identity.apply_departure(id, started_ms, now_ms());
+        drop(identity);
+        let mut last_targets = lock(&self.last_targets);
+        let known = current.or_else(|| last_targets.restored.clone());
+        let departed = known.filter(|target| {
+            target.id == id && started_ms.is_none_or(|started| started == target.started_ms)
+        });
+        if departed.is_some() {
+            last_targets.departed = departed.map(|target| Target {
+                sequence: u64::MAX,
+                ..target
+            });
+        }
+        drop(last_targets);
+        if is_current {
             log::info!(
                 event = "target_left",
                 target_id = id;
                 "target announced its departure; it gets no new requests"
             );
-            self.update_presence();
         }
+        self.update_presence();
     }
 
     /// Refuses queued and new requests because the node is shutting down.
@@ -174,15 +203,10 @@
             (Presence::Leaving, _) => self.limiter.close(Reason::Draining),
             _ => self.limiter.close(Reason::NoTarget),
         }
-        let target = current.map(|current| Target {
-            id: current.id.clone(),
-            started_ms: current.started_ms,
-            sequence: current.sequence,
-            service: current.service.clone(),
-            slots: current.slots,
-            cold_ms: u64::try_from(current.cold_left.as_millis()).unwrap_or(u64::MAX),
-        });
+        let target = current.map(announced_target);
         drop(identity);
+        // A later process of this node restores from it which heartbeats are outdated.
+        let target = target.or_else(|| lock(&self.last_targets).departed.clone());
         self.presence.send_if_modified(|published| {
             let same_target = match (&published.1, &target) {
                 (Some(a), Some(b)) => {
@@ -459,6 +483,18 @@
     }
 }
 
+/// What the node's entry says of a target.
+fn announced_target(heartbeat: &Heartbeat) -> Target {
+    Target {
+        id: heartbeat.id.clone(),
+        started_ms: heartbeat.started_ms,
+        sequence: heartbeat.sequence,
+        service: heartbeat.service.clone(),
+        slots: heartbeat.slots,
+        cold_ms: millis(heartbeat.cold_left),
+    }
+}
+
 #[allow(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/src/target/tests/runner.rs
+++ b/src/target/tests/runner.rs
@@ -7,9 +7,10 @@
 
 use crate::dialect::{Heartbeat, Phase};
 use crate::h1::Response;
+use crate::link::Target;
 use crate::platform;
 use crate::roster::{Crash, Presence, Suspicions};
-use crate::target::{Finding, Runner};
+use crate::target::{Finding, Outcome, Runner};
 use crate::testing::{Action, FAILURE, GOOD, ScriptedTarget, offer, until};
 use crate::verdict::{Reason, Refusal, Verdict};
 
@@ -63,14 +64,24 @@
 );
 
 fn runner_at(address: std::net::SocketAddr) -> RunnerParts {
+    let parts = runner_without_target(address);
+    parts.1.apply_heartbeat(heartbeat(1, Phase::Ready));
+    parts
+}
+
+fn runner_without_target(address: std::net::SocketAddr) -> RunnerParts {
     let suspicions = Arc::new(Suspicions::default());
     let (finding_sender, findings) = mpsc::unbounded_channel();
     let dialect = Arc::new(platform::Dialect);
     let runner = Runner::new(address, dialect, suspicions.clone(), finding_sender);
-    runner.apply_heartbeat(heartbeat(1, Phase::Ready));
     (suspicions, runner, findings)
 }
 
+/// A runner that has received no heartbeat yet.
+fn unknown_target() -> Arc<Runner> {
+    runner_without_target("127.0.0.1:9".parse().unwrap()).1
+}
+
 async fn fixture(script: &[Action]) -> Fixture {
     let target = ScriptedTarget::start(script).await;
     let (suspicions, runner, findings) = runner_at(target.address);
@@ -348,3 +359,52 @@
         "HTTP/1.1 200 OK\r\nbluebellgap-request-id: {id}\r\nbluebellgap-server-stamp: s\r\n\
          content-length: 68719476736\r\n\r\n",
 }
+
+/// A heartbeat of the target `t1` that started at `started_ms`.
+fn beat(started_ms: u64, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        id: "t1".into(),
+        started_ms,
+        sequence,
+        service: "booking".into(),
+        slots: 1,
+        phase: Phase::Ready,
+        cold_left: Duration::ZERO,
+    }
+}
+
+/// Guards against a target that left and is in use again after its node restarted: a late heartbeat
+/// may be newer than the last one that the earlier process announced.
+#[tokio::test]
+async fn a_restarted_node_ignores_late_heartbeats_of_a_target_that_left() {
+    let before = fixture(&[Action::Answer(GOOD)]).await.runner;
+    assert_eq!(before.apply_heartbeat(beat(1_000, 2)), Outcome::Changed);
+    before.apply_departure("t1", Some(1_000));
+    let (presence, announced) = before.subscribe().borrow().clone();
+    assert_eq!(presence, Presence::Down);
+    let restarted = unknown_target();
+    restarted.restore(&announced.expect("the departed target is not announced"));
+    assert_eq!(restarted.apply_heartbeat(beat(1_000, 9)), Outcome::Stale);
+    assert!(!restarted.has_target());
+    assert_eq!(restarted.apply_heartbeat(beat(5_000, 1)), Outcome::Changed);
+}
+
+/// The same if the node restarts again before it knows the target.
+#[tokio::test]
+async fn a_departure_that_a_restarted_node_receives_is_announced_for_its_next_process() {
+    let before = unknown_target();
+    let target = Target {
+        id: "t1".into(),
+        started_ms: 1_000,
+        sequence: 2,
+        service: "booking".into(),
+        slots: 1,
+        cold_ms: 0,
+    };
+    before.restore(&target);
+    before.apply_departure("t1", Some(1_000));
+    let (_, announced) = before.subscribe().borrow().clone();
+    let restarted = unknown_target();
+    restarted.restore(&announced.expect("the departed target is not announced"));
+    assert_eq!(restarted.apply_heartbeat(beat(1_000, 9)), Outcome::Stale);
+}
