Look up overload refusals only for targets of other regions

The choice of a target took a lock and two lookups for each target of the service on each attempt; it now looks at no more candidates than it needs.

--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -3,8 +3,7 @@
 mod endpoint;
 mod index;
 
-pub(crate) use endpoint::Demand;
-pub(crate) use endpoint::Endpoint;
+pub(crate) use endpoint::{Demand, Endpoint};
 pub(crate) use index::{Directory, Locality};
 
 #[cfg(test)]
--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -238,12 +238,9 @@
             let ranked = self
                 .directory
                 .rank(&call.demand(), &progress.excluded_nodes);
-            let candidates: Vec<Candidate> = ranked
-                .iter()
-                .map(|endpoint| self.candidate(call, endpoint))
-                .collect();
+            let candidates = ranked.iter().map(|e| self.candidate(call, e));
             let demand = call.placement(progress.overload_refusals);
-            let Some(choice) = placement::choose(&candidates, &demand) else {
+            let Some(choice) = placement::choose(candidates, &demand) else {
                 if progress.overload_refusals == 0 && may_wait_for_target(call) {
                     tokio::time::sleep(TARGET_LOOKUP_INTERVAL).await;
                     // No other target is left, so those already tried are tried again.
@@ -276,13 +273,13 @@
 
     /// What the choice of a target for a call depends on at one endpoint.
     fn candidate(&self, call: &Call, endpoint: &Endpoint) -> Candidate {
+        let data_center = &endpoint.entry.data_center;
+        let overloaded_for = || self.overloads.elapsed(&call.service, data_center);
         Candidate {
             full: endpoint.is_full(),
             round_trip: endpoint.round_trip(),
             remote: endpoint.remote,
-            overloaded_for: self
-                .overloads
-                .elapsed(&call.service, &endpoint.entry.data_center),
+            overloaded_for: endpoint.remote.then(overloaded_for).flatten(),
         }
     }
 
--- a/src/overload/placement.rs
+++ b/src/overload/placement.rs
@@ -16,6 +16,10 @@
 /// full. A few requests run meanwhile.
 const REMOTE_FULL_TTL: Duration = Duration::from_secs(1);
 
+/// Time that must be left of the objective after the trip to another region, in expected latencies.
+/// Below 1, because a request may well be faster than the average.
+const MIN_TIME_LEFT_LATENCIES: f64 = 0.5;
+
 /// A target that a request could be offered to. Candidates are in order of their cost.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Candidate {
@@ -26,7 +30,7 @@
     /// Whether the target is in another region.
     pub remote: bool,
     /// Time since a target of the same service and data centre last refused a request of this node
-    /// for overload.
+    /// for overload; matters only for targets of other regions.
     pub overloaded_for: Option<Duration>,
 }
 
@@ -58,15 +62,19 @@
     pub last: bool,
 }
 
-/// Chooses one of the candidates; `None` if there is none.
-pub(crate) fn choose(candidates: &[Candidate], demand: &Demand) -> Option<Choice> {
-    if candidates.is_empty() {
+/// Chooses one of the candidates; `None` if there is none. Looks at no more of them than it needs.
+pub(crate) fn choose(
+    mut candidates: impl ExactSizeIterator<Item = Candidate>,
+    demand: &Demand,
+) -> Option<Choice> {
+    let count = candidates.len();
+    if count == 0 {
         return None;
     }
     let latest_start = demand.time_left.saturating_sub(demand.expected_latency);
     if demand.nested {
         // It goes before the requests in the queue, so a target that is full is soon free for it.
-        let last = demand.overload_refusals >= MAX_OVERLOAD_REFUSALS || candidates.len() == 1;
+        let last = demand.overload_refusals >= MAX_OVERLOAD_REFUSALS || count == 1;
         return Some(Choice {
             index: 0,
             max_wait: if last {
@@ -77,16 +85,14 @@
             last,
         });
     }
-    let is_worth_a_try = |candidate: &&Candidate| is_worth_a_try(candidate, demand);
-    let open = candidates.iter().position(|c| is_worth_a_try(&c));
+    let may_try_more = demand.overload_refusals < MAX_OVERLOAD_REFUSALS && count > 1;
+    let open = candidates.position(|candidate| is_worth_a_try(&candidate, demand));
     match open {
-        Some(index) if demand.overload_refusals < MAX_OVERLOAD_REFUSALS && candidates.len() > 1 => {
-            Some(Choice {
-                index,
-                max_wait: demand.objective.mul_f64(QUEUE_WAIT_SHARE),
-                last: false,
-            })
-        }
+        Some(index) if may_try_more => Some(Choice {
+            index,
+            max_wait: demand.objective.mul_f64(QUEUE_WAIT_SHARE),
+            last: false,
+        }),
         // With no better target to try, the request queues as long as its deadline allows.
         _ => Some(Choice {
             index: 0,
@@ -107,6 +113,6 @@
     let known_full = candidate
         .overloaded_for
         .is_some_and(|elapsed| elapsed < REMOTE_FULL_TTL);
-    let in_time = candidate.round_trip + demand.expected_latency.mul_f64(0.5);
+    let in_time = candidate.round_trip + demand.expected_latency.mul_f64(MIN_TIME_LEFT_LATENCIES);
     !known_full && in_time < demand.objective_left
 }
--- a/src/overload/tests.rs
+++ b/src/overload/tests.rs
@@ -206,7 +206,7 @@
         nested,
         overload_refusals,
     };
-    let choice = choose(candidates, &demand).unwrap();
+    let choice = choose(candidates.iter().copied(), &demand).unwrap();
     (choice.index, choice.last)
 }
 
@@ -242,7 +242,7 @@
         nested: true,
         overload_refusals: 0,
     };
-    let choice = choose(&[NEAR_FULL, FAR], &demand).unwrap();
+    let choice = choose([NEAR_FULL, FAR].into_iter(), &demand).unwrap();
     assert_eq!(choice.max_wait, ms(120));
 }
 
@@ -256,5 +256,5 @@
         nested: false,
         overload_refusals: 0,
     };
-    assert_eq!(choose(&[], &demand), None);
+    assert_eq!(choose(std::iter::empty(), &demand), None);
 }
