Reject heartbeats with impossible numbers

Cause: a heartbeat of another writer with a start in the far future made every later heartbeat of the real target stale; one with four billion slots lifted the limit of the target.

Tests: five odd heartbeats; four were red before (the deeply nested one was rejected already).

--- a/src/platform/notice.rs
+++ b/src/platform/notice.rs
@@ -7,6 +7,13 @@
 
 use crate::dialect::{Heartbeat, Notice, Phase};
 
+/// Most slots that a target can have.
+const MAX_SLOTS: u32 = 65_536;
+/// Start of the year 2200, in milliseconds since 1970.
+const MAX_STARTED_MS: u64 = 7_258_118_400_000;
+/// Longest cold start of a target, in seconds.
+const MAX_COLD_S: f64 = 3_600.0;
+
 const PATH_PREFIX: &str = "/instances/";
 
 /// Body of `PUT /instances/ID`.
@@ -68,6 +75,14 @@
     if beat.info.slots == 0 || beat.info.service.is_empty() {
         return Err("no slots or no service".into());
     }
+    // Another program may write heartbeats too; such a start or number would outdate all real ones.
+    let is_plausible = beat.info.slots <= MAX_SLOTS
+        && beat.started_ms < MAX_STARTED_MS
+        && beat.status.sequence < u64::MAX
+        && beat.status.cold_left_s <= MAX_COLD_S;
+    if !is_plausible {
+        return Err("a number is out of range".into());
+    }
     let cold_left = Duration::try_from_secs_f64(beat.status.cold_left_s);
     Ok(Notice::Heartbeat(Heartbeat {
         id,
--- a/src/platform/tests/notice.rs
+++ b/src/platform/tests/notice.rs
@@ -58,6 +58,11 @@
     slots_of_the_wrong_type_are_rejected: "18", r#""many""#;
     zero_slots_are_rejected: "18", "0";
     a_negative_cold_time_is_rejected: "1.5", "-1";
+    a_start_in_the_far_future_is_rejected: "1700000000000", "1000000000000000000";
+    more_slots_than_any_target_has_are_rejected: "18", "4000000000";
+    a_sequence_beyond_all_others_is_rejected: r#""Sequence":4"#, r#""Sequence":18446744073709551615"#;
+    a_cold_time_of_years_is_rejected: "1.5", "1e9";
+    a_deeply_nested_field_is_rejected: r#""Slots":18"#, &format!(r#""Slots":{}"#, "[".repeat(30_000));
     malformed_json_is_rejected: r#""Status""#, "";
 }
 
