--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -353,13 +353,14 @@
         jobs.finish(offer_id, Status::default(), Reply::Answer((&answer).into()));
     }
     jobs.inquire(0, Status::default(), sender);
-    let mut last = None;
-    while let Ok(Ok(Frame::Reply(_, _, reply))) =
-        tokio::time::timeout(Duration::from_millis(500), receiver.next()).await
-    {
-        last = Some(reply);
+    // The three answers, then the reply to the inquiry.
+    let mut replies = Vec::new();
+    while replies.len() < 4 {
+        if let Frame::Reply(offer_id, _, reply) = receiver.next().await.unwrap() {
+            replies.push((offer_id, verdict(&reply)));
+        }
     }
-    assert_eq!(verdict(&last.unwrap()), LOST);
+    assert_eq!(replies, [(0, None), (1, None), (2, None), (0, LOST)]);
 }
 
 #[tokio::test]
