--- a/src/directory/endpoint.rs
+++ b/src/directory/endpoint.rs
@@ -186,8 +186,8 @@
         self.occupancy(&samples) < f64::from(slots) * SPARE_SLOTS_SHARE
     }
 
-    /// Estimated time until the target answers a request, plus penalties for failures, a recent refusal and distance. The lowest cost
-    /// is best.
+    /// Estimated time until the target answers a request, plus penalties for failures, a recent
+    /// refusal and distance. The lowest cost is best.
     pub(crate) fn cost(&self, demand: &Demand<'_>) -> Duration {
         let expected_latency = demand.expected_latency;
         let samples = *self.stats.lock();
--- a/src/target/meter.rs
+++ b/src/target/meter.rs
@@ -77,7 +77,8 @@
         let took_ms = took.as_secs_f64() * 1e3;
         self.run_ms += NEWEST_RUN_WEIGHT * (took_ms - self.run_ms);
         self.slowness += NEWEST_RUN_WEIGHT * (slowness_of(took, run.expected) - self.slowness);
-        if self.run_ms_by_route.len() >= MAX_ROUTES {
+        let is_known = self.run_ms_by_route.contains_key(&run.route);
+        if self.run_ms_by_route.len() >= MAX_ROUTES && !is_known {
             self.run_ms_by_route.clear();
         }
         let average = self.run_ms_by_route.entry(run.route).or_insert(took_ms);
