--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Runs the case `added-route` of review/standins. Exits with 1 if the rule was broken, 0 if it held, and 2 if
+# Runs the case `lost-reply` of review/standins. Exits with 1 if the rule was broken, 0 if it held, and 2 if
 # the case could not run. TROUBLE=0 leaves out the disruption.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
@@ -14,7 +14,7 @@
 }
 trap end EXIT
 trap 'exit 2' INT TERM
-timeout 118 target/review/standins added-route "$folder" "$here/record.txt"
+timeout 118 target/review/standins lost-reply "$folder" "$here/record.txt"
 code=$?
 [ $code -le 2 ] || code=2
 exit $code
--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -13,6 +13,7 @@
 use crate::instance::{Decision, Instance};
 use crate::node::{Node, RESTART_DELAY, SIGTERM, wait_until_ready};
 use crate::record::Record;
+use crate::relay::Cut;
 use crate::store::Store;
 
 const HOST: &str = "mesh.example";
@@ -32,7 +33,7 @@
         "late-copy" => late_copy(folder, record, trouble),
         "added-route" => added_route(folder, record, trouble),
         "left-instance" => left_instance(folder, record, trouble),
-        "crashing-request" => crashing_request(folder, record, trouble),
+        "lost-reply" => lost_reply(folder, record, trouble),
         "large-body" => large_body(folder, record, trouble),
         _ => Verdict::CouldNotRun,
     }
@@ -44,6 +45,7 @@
     prefix: &'static str,
     kind: &'static str,
     service: &'static str,
+    timeout_s: u32,
 }
 
 /// The operator's configuration, with the limits that the pages show.
@@ -53,9 +55,9 @@
         .map(|route| {
             format!(
                 "{{\"KindOf\":\"Routes\",\"Metadata\":{{\"Name\":\"{}\"}},\"Spec\":{{\"Host\":\"{HOST}\",\
-                 \"Prefix\":\"{}\",\"Type\":\"{}\",\"TimeoutS\":2,\"GoalS\":1,\"Priority\":1,\
+                 \"Prefix\":\"{}\",\"Type\":\"{}\",\"TimeoutS\":{},\"GoalS\":1,\"Priority\":1,\
                  \"Service\":\"{}\",\"Attempts\":2}}}}",
-                route.name, route.prefix, route.kind, route.service
+                route.name, route.prefix, route.kind, route.timeout_s, route.service
             )
         })
         .collect();
@@ -124,6 +126,94 @@
     move |_| Decision::Run(Duration::from_millis(work_ms))
 }
 
+/// TWICE: the machine that took a request is cut off for longer than the reply is retained.
+fn lost_reply(folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
+    const CUT: Duration = Duration::from_millis(11_500);
+    const DEADLINE: Duration = Duration::from_secs(15);
+    let started = Instant::now();
+    let store = Store::start();
+    let services = ["booking", "availability"];
+    let route = Route {
+        name: "hire-book",
+        prefix: "/hire/",
+        kind: "unsafe",
+        service: "booking",
+        timeout_s: 15,
+    };
+    store.put_config(&config(1, &[route], &services));
+    let cut = Arc::new(Cut::default());
+    let start = |name: &str, zone: &str, service: &str| {
+        Node::start_behind_relay(name, zone, service, store.address, folder, &cut)
+    };
+    let caller = start("sidecar-bkk-a-1", "bkk-a", "availability");
+    let other_caller = start("sidecar-bkk-a-2", "bkk-a", "availability");
+    let near = start("sidecar-bkk-b-1", "bkk-b", "booking");
+    let far = start("sidecar-hkt-a-1", "hkt-a", "booking");
+    let start = |id: &str, service: &str, node: &Node| {
+        Instance::start(id, service, node.app, node.control, record, always_run(300))
+    };
+    let _instances = [
+        start("i-a1", "availability", &caller),
+        start("i-a2", "availability", &other_caller),
+        start("i-b1", "booking", &near),
+        start("i-b2", "booking", &far),
+    ];
+    if !settle(record, &[&caller, &other_caller, &near, &far], started) {
+        return Verdict::CouldNotRun;
+    }
+    // Others go on using the instance's machine meanwhile.
+    let stop = Arc::new(AtomicBool::new(false));
+    let others = {
+        let (record, stop, node) = (record.clone(), stop.clone(), other_caller.outbound);
+        thread::spawn(move || {
+            while !stop.load(Ordering::SeqCst) {
+                ask(&record, node, "POST /hire/2", Duration::from_secs(4), b"{}");
+                thread::sleep(Duration::from_millis(200));
+            }
+        })
+    };
+    thread::sleep(Duration::from_secs(2));
+    let request = {
+        let (record, node) = (record.clone(), caller.outbound);
+        thread::spawn(move || ask(&record, node, "POST /hire/1", DEADLINE, b"{}"))
+    };
+    let sent = Instant::now();
+    while !record.runs().iter().any(|run| run.path == "/hire/1") {
+        if sent.elapsed() > Duration::from_secs(2) {
+            return Verdict::CouldNotRun;
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    thread::sleep(Duration::from_millis(100));
+    if trouble {
+        cut.begin(&caller.name);
+        record.line("CUT: sidecar-bkk-a-1 is partitioned from all other machines");
+    }
+    thread::sleep(CUT);
+    cut.end();
+    record.line("the cut ends");
+    let (id, answer) = request.join().expect("no panic in the client");
+    thread::sleep(Duration::from_secs(2));
+    stop.store(true, Ordering::SeqCst);
+    let _ = others.join();
+    let runs = record.runs();
+    let at: Vec<&str> = runs
+        .iter()
+        .filter(|run| run.request_id == id)
+        .map(|run| run.instance.as_str())
+        .collect();
+    let status = answer.map_or(0, |answer| answer.status());
+    record.line(&format!(
+        "TWICE: request {id} ran {} times, at {at:?}; answered {status}",
+        at.len()
+    ));
+    if at.len() > 1 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
+
 /// REFUSED: an instance sheds requests, and a second copy of a few of these answers comes late.
 fn late_copy(folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
     const REQUESTS: u64 = 130;
@@ -140,6 +230,7 @@
         prefix: "/hire/",
         kind: "unsafe",
         service: "booking",
+        timeout_s: 2,
     };
     store.put_config(&config(1, &[route], &services));
     let zones = ["bkk-a", "cnx-a", "hkt-a", "bkk-b", "cnx-b", "hkt-b"];
@@ -225,12 +316,14 @@
         prefix: "/hire/",
         kind: "unsafe",
         service: "booking",
+        timeout_s: 2,
     };
     let added = Route {
         name: "unit-lookup",
         prefix: "/hire/units/",
         kind: "safe",
         service: "availability",
+        timeout_s: 2,
     };
     store.put_config(&config(1, &[hire()], &services));
     let booking = Node::start("booking-1", "bkk-a", "booking", store.address, folder);
@@ -313,6 +406,7 @@
         prefix: "/hire/",
         kind: "safe",
         service: "booking",
+        timeout_s: 2,
     };
     store.put_config(&config(1, &[route], &services));
     let caller = Node::start(
@@ -335,7 +429,7 @@
     if !settle(record, &[&caller, &leaving, &staying], started) {
         return Verdict::CouldNotRun;
     }
-    let stop = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let stop = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = (0..4)
         .map(|_| {
             let (record, stop, node) = (record.clone(), stop.clone(), caller.outbound);
@@ -428,6 +522,7 @@
         prefix: "/cut/",
         kind: "unsafe",
         service: "carving-queue",
+        timeout_s: 2,
     };
     store.put_config(&config(1, &[route], &services));
     let start =
@@ -508,117 +603,3 @@
         Verdict::Held
     }
 }
-
-/// BUDGET: a request that crashes instances comes again while the nodes are restarted in turn.
-fn crashing_request(folder: &Path, record: &Arc<Record>, trouble: bool) -> Verdict {
-    /// Time after a crash at which the instance is back.
-    const DOWN: Duration = Duration::from_millis(1500);
-    const ROLLS: usize = 3;
-    /// Times that the request is sent between two rolls.
-    const SENDS: usize = 3;
-    /// Retries that may still reach instances.
-    const ALLOWED: usize = 3;
-    let started = Instant::now();
-    let store = Store::start();
-    let services = ["booking", "availability"];
-    let route = Route {
-        name: "hire-book",
-        prefix: "/hire/",
-        kind: "unsafe",
-        service: "booking",
-    };
-    store.put_config(&config(1, &[route], &services));
-    let mut nodes = [
-        Node::start(
-            "sidecar-bkk-a-1",
-            "bkk-a",
-            "availability",
-            store.address,
-            folder,
-        ),
-        Node::start("sidecar-bkk-a-2", "bkk-a", "booking", store.address, folder),
-        Node::start("sidecar-bkk-a-3", "bkk-a", "booking", store.address, folder),
-    ];
-    let policy = |request: &Message| {
-        if request.word(1) == "/hire/poison" {
-            Decision::Crash(DOWN)
-        } else {
-            Decision::Run(Duration::from_millis(50))
-        }
-    };
-    let _instances = [
-        Instance::start(
-            "i-a1",
-            "availability",
-            nodes[0].app,
-            nodes[0].control,
-            record,
-            policy,
-        ),
-        Instance::start(
-            "i-b1",
-            "booking",
-            nodes[1].app,
-            nodes[1].control,
-            record,
-            policy,
-        ),
-        Instance::start(
-            "i-b2",
-            "booking",
-            nodes[2].app,
-            nodes[2].control,
-            record,
-            policy,
-        ),
-    ];
-    if !settle(record, &nodes.iter().collect::<Vec<_>>(), started) {
-        return Verdict::CouldNotRun;
-    }
-    let caller = nodes[0].outbound;
-    for round in 0..=ROLLS {
-        for _ in 0..SENDS {
-            ask(
-                record,
-                caller,
-                "POST /hire/poison",
-                Duration::from_secs(4),
-                b"{}",
-            );
-            thread::sleep(DOWN + Duration::from_secs(1));
-        }
-        if round == ROLLS {
-            break;
-        }
-        for node in &mut nodes {
-            if trouble {
-                record.line(&format!("SIGTERM to {} (planned restart)", node.name));
-                node.signal(SIGTERM);
-                node.finish_restart(Instant::now());
-                if !wait_until_ready(&[&*node], START_LIMIT) {
-                    return Verdict::CouldNotRun;
-                }
-            }
-        }
-        thread::sleep(Duration::from_secs_f64(CONTACT_S + 0.5));
-    }
-    let runs = record.runs();
-    let crashes: Vec<_> = runs
-        .iter()
-        .filter(|run| run.path == "/hire/poison")
-        .collect();
-    let later = crashes.get(2).map_or(0, |third| {
-        let bound_from_s = third.at_s + CONTACT_S;
-        crashes.iter().filter(|run| run.at_s > bound_from_s).count()
-    });
-    record.line(&format!(
-        "BUDGET: the request crashed instances {} times; {later} retries reached instances later than \
-         ContactS after the third crash",
-        crashes.len()
-    ));
-    if later > ALLOWED {
-        Verdict::Broken
-    } else {
-        Verdict::Held
-    }
-}
--- a/review/standins/instance.rs
+++ b/review/standins/instance.rs
@@ -20,8 +20,6 @@
 pub enum Decision {
     /// Works on it for this long, and answers 200.
     Run(Duration),
-    /// Ends as soon as it begins to work; it is back after this time.
-    Crash(Duration),
     /// Rejects it with 503 and `Bluebellgap-Not-Run`. After the delay, if there is one, a second copy
     /// of that answer follows on the same connection.
     Shed { second_copy: Option<Duration> },
@@ -39,8 +37,7 @@
     sequence: AtomicU64,
     beating: AtomicBool,
     ended: AtomicBool,
-    crashed: AtomicBool,
-    /// Open connections, closed at a crash.
+    /// Open connections, closed at the end.
     open: Mutex<Vec<std::net::TcpStream>>,
     policy: Box<Policy>,
     record: Arc<Record>,
@@ -67,7 +64,6 @@
             sequence: AtomicU64::new(0),
             beating: AtomicBool::new(true),
             ended: AtomicBool::new(false),
-            crashed: AtomicBool::new(false),
             open: Mutex::default(),
             policy: Box::new(policy),
             record: record.clone(),
@@ -84,7 +80,7 @@
         instance
     }
 
-    /// Accepts connections; refuses them while the instance is down after a crash.
+    /// Accepts connections until the instance ends.
     fn accept(self: Arc<Self>) {
         while !self.ended.load(Ordering::SeqCst) {
             let Ok(listener) = TcpListener::bind(self.address) else {
@@ -92,7 +88,7 @@
                 continue;
             };
             listener.set_nonblocking(true).expect("a socket option");
-            while !self.ended.load(Ordering::SeqCst) && !self.crashed.load(Ordering::SeqCst) {
+            while !self.ended.load(Ordering::SeqCst) {
                 let Ok((stream, _)) = listener.accept() else {
                     thread::sleep(POLL_INTERVAL);
                     continue;
@@ -101,10 +97,6 @@
                 let shared = self.clone();
                 thread::spawn(move || shared.serve(Connection::new(stream)));
             }
-            drop(listener);
-            while self.crashed.load(Ordering::SeqCst) {
-                thread::sleep(POLL_INTERVAL);
-            }
         }
     }
 
@@ -183,15 +175,6 @@
                         return;
                     }
                 }
-                Decision::Crash(pause) => {
-                    self.record.run(&self.id, &self.service, request_id, &path);
-                    self.record.line(&format!("CRASH of {}", self.id));
-                    self.crashed.store(true, Ordering::SeqCst);
-                    self.close_all();
-                    thread::sleep(pause);
-                    self.crashed.store(false, Ordering::SeqCst);
-                    return;
-                }
                 Decision::Shed { second_copy } => {
                     self.record
                         .line(&format!("SHED {request_id} at {}", self.id));
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,6 +9,7 @@
 mod json;
 mod node;
 mod record;
+mod relay;
 mod store;
 
 use std::path::Path;
--- a/review/standins/node.rs
+++ b/review/standins/node.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::http;
+use crate::relay::{self, Cut};
 
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
@@ -55,6 +57,29 @@
 impl Node {
     /// Writes the settings of a machine and starts its process.
     pub fn start(name: &str, zone: &str, service: &str, store: SocketAddr, folder: &Path) -> Self {
+        Self::start_with(name, zone, service, store, folder, None)
+    }
+
+    /// The same, with a proxy in front of the port at which other nodes connect.
+    pub fn start_behind_relay(
+        name: &str,
+        zone: &str,
+        service: &str,
+        store: SocketAddr,
+        folder: &Path,
+        cut: &Arc<Cut>,
+    ) -> Self {
+        Self::start_with(name, zone, service, store, folder, Some(cut))
+    }
+
+    fn start_with(
+        name: &str,
+        zone: &str,
+        service: &str,
+        store: SocketAddr,
+        folder: &Path,
+        cut: Option<&Arc<Cut>>,
+    ) -> Self {
         static LAST_NUMBER: AtomicU8 = AtomicU8::new(0);
         let number = LAST_NUMBER.fetch_add(1, Ordering::SeqCst) + 1;
         let inbound = address(number, 8300);
@@ -96,6 +121,15 @@
         let filled = fields.iter().fold(template, |text, (placeholder, value)| {
             text.replace(placeholder, value)
         });
+        let filled = match cut {
+            Some(cut) => {
+                let advertised = address(number, 7621);
+                relay::start(advertised, inbound, name, cut);
+                let mesh = format!("mesh = {inbound}\n");
+                filled.replace(&mesh, &format!("{mesh}advertise = {advertised}\n"))
+            }
+            None => filled,
+        };
         fs::write(&node.settings, filled).expect("a writable folder");
         node.spawn();
         node
@@ -161,10 +195,12 @@
 
     /// Resident memory of the process in bytes.
     pub fn memory_bytes(&self) -> u64 {
-        let status = self.pid().map(|pid| format!("/proc/{pid}/statm"));
+        let status = self.pid().map(|pid| format!("/proc/{pid}/status"));
         let text = status.and_then(|path| fs::read_to_string(path).ok());
-        let pages = text.and_then(|text| text.split(' ').nth(1)?.parse::<u64>().ok());
-        pages.unwrap_or(0) * 4096
+        let text = text.unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.trim().split(' ').next()?.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) * 1024
     }
 }
 
