Remember an offer until its deadline

Cause: the target's node forgot finished offers after 10 s, and told an inquiry about one that it had forgotten, as one that had never arrived, that it had not run. Change: finished offers and their replies are remembered until the offer's deadline, 10 s at least; what memory limits discard early is reported as possibly run. The offering node trusts 'not run' only while the peer must remember the offer. A second copy of an offer is ignored, not refused.

--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -5,15 +5,16 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::link::frame::{Entry, Frame, Offer, OfferId, PackedVersion, Reply, Update};
+use crate::link::jobs::MIN_RETENTION;
 use crate::link::server::{Handler, handle_common_frame, handle_status};
 use crate::link::session::{self, Receiver, Sender};
-use crate::verdict::{Reason, Refusal};
+use crate::verdict::{Reason, Refusal, Verdict};
 
 /// Time to connect and receive the peer's hello; several round trips between regions, and a
 /// fraction of the shortest latency objectives.
@@ -197,6 +198,28 @@
     idempotent: bool,
     /// Incarnation of the process to which it was sent.
     incarnation: u64,
+    /// Time of day at which it was sent. Unlike [`Instant`], it also counts the time for which the
+    /// machine is suspended.
+    sent_at: SystemTime,
+    /// Time after its arrival for which the peer remembers it at least.
+    remembered_for: Duration,
+}
+
+impl PendingOffer {
+    /// The peer's reply, or that the request may have run if the peer replied that it had not
+    /// arrived, and may have forgotten it meanwhile.
+    fn check_reply(&self, reply: Reply) -> Reply {
+        let Reply::Refused(refusal) = &reply else {
+            return reply;
+        };
+        let age = self.sent_at.elapsed().unwrap_or_default();
+        let did_not_arrive =
+            refusal.reason == Reason::ConnectionLost && refusal.verdict == Verdict::NotRun;
+        if did_not_arrive && age >= self.remembered_for {
+            return Reply::Refused(Refusal::may_have_run(Reason::ConnectionLost));
+        }
+        reply
+    }
 }
 
 /// Error: the [`Link`] was dropped.
@@ -364,6 +387,8 @@
                     reply,
                     idempotent: offer.idempotent,
                     incarnation: session.peer.incarnation,
+                    sent_at: SystemTime::now(),
+                    remembered_for: offer.time_left.max(MIN_RETENTION),
                 };
                 self.pending.insert(offer.id, pending);
                 session.sender.send(Frame::Offer(offer));
@@ -391,7 +416,8 @@
         if let Some(Frame::Reply(offer_id, status, reply)) = frame {
             handle_status(handler, &session.peer, status, &session.sender);
             if let Some(pending) = self.pending.remove(&offer_id) {
-                let _ = pending.reply.send(*reply);
+                let reply = pending.check_reply(*reply);
+                let _ = pending.reply.send(reply);
             }
         }
     }
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -12,7 +12,7 @@
 use crate::link::frame::{
     Entry, Frame, Hello, Offer, OfferId, PackedVersion, Reply, Status, Update,
 };
-use crate::link::jobs::Jobs;
+use crate::link::jobs::{Arrival, Jobs};
 use crate::link::session::{self, Sender};
 use crate::verdict::{Reason, Refusal};
 
@@ -165,11 +165,15 @@
 /// Spawns a task that runs an offered request.
 fn start_job(handler: &Arc<dyn Handler>, jobs: &Arc<Jobs>, offer: Offer, sender: &Sender) {
     let offer_id = offer.id;
-    if !jobs.start(offer_id, sender.clone()) {
-        let refused = Reply::Refused(Refusal::not_run(Reason::ConnectionLost));
-        let status = handler.hello().status;
-        sender.send(Frame::Reply(offer_id, status, Box::new(refused)));
-        return;
+    match jobs.start(offer_id, sender.clone(), offer.time_left) {
+        Arrival::Run => {}
+        Arrival::Repeated => return,
+        Arrival::Revoked => {
+            let refused = Reply::Refused(Refusal::not_run(Reason::ConnectionLost));
+            let status = handler.hello().status;
+            sender.send(Frame::Reply(offer_id, status, Box::new(refused)));
+            return;
+        }
     }
     let completion = Completion {
         handler: handler.clone(),
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -12,8 +12,8 @@
 use tokio::task::JoinSet;
 
 use crate::h1::Response;
-use crate::link::frame::Frame;
-use crate::link::jobs::Jobs;
+use crate::link::frame::{Frame, OfferId};
+use crate::link::jobs::{Arrival, Jobs};
 use crate::link::session;
 use crate::link::{
     Entry, Fetch, Handler, Hello, Link, Offer, PackedVersion, Reply, Status, Update, listen,
@@ -289,6 +289,29 @@
     assert_eq!((verdict(&reply), started), (None, 1));
 }
 
+/// Guards against a second run of a non-idempotent request whose reply is lost for longer than
+/// replies are usually retained: the node answered that a request which it had forgotten did not run.
+#[tokio::test]
+async fn a_reply_is_fetched_after_a_long_partition() {
+    let node = Node::new("n", 1, Duration::from_millis(100));
+    let (address, _running) = serve(&node).await;
+    let (relay, address) = Relay::start(address).await;
+    let link = Link::new(address, caller());
+    let mut handle = link.offer(testing::offer(false, Duration::from_secs(15)));
+    until("started", || node.started() == 1).await;
+    relay.dropping.store(true, Ordering::Relaxed);
+    let node_address = relay.upstream.lock().unwrap().unwrap();
+    // The node discards expired offers when others arrive.
+    let other_link = Link::new(node_address, caller());
+    for _ in 0..23 {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(verdict(&other_link.offer(offer(false)).reply().await), None);
+    }
+    relay.dropping.store(false, Ordering::Relaxed);
+    let reply = tokio::time::timeout(Duration::from_secs(3), handle.reply()).await;
+    assert_eq!(verdict(&reply.unwrap()), None);
+}
+
 #[tokio::test]
 async fn a_restarted_node_reports_requests_to_its_old_process_as_lost() {
     let restarted = Node::new("n", 2, Duration::ZERO);
@@ -337,17 +360,66 @@
     assert_eq!(node.started(), 0);
 }
 
-#[tokio::test]
-async fn an_inquiry_about_a_discarded_reply_says_may_have_run() {
+/// The sending and the receiving end of a connection.
+async fn connection() -> (session::Sender, session::Receiver) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (connected, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
-    let (sender, _unread) = session::start(connected.unwrap()).unwrap();
-    let (_unused, mut receiver) = session::start(accepted.unwrap().0).unwrap();
+    let (sender, _) = session::start(connected.unwrap()).unwrap();
+    let (_, receiver) = session::start(accepted.unwrap().0).unwrap();
+    (sender, receiver)
+}
+
+fn start(jobs: &Jobs, offer_id: OfferId, sender: &session::Sender) -> Arrival {
+    jobs.start(offer_id, sender.clone(), Duration::from_secs(5))
+}
+
+/// Guards against "not run" for a request that ran: an offer that exceeds the number of remembered
+/// ones was taken for one that had not arrived.
+#[tokio::test]
+async fn an_inquiry_about_an_offer_evicted_early_says_may_have_run() {
+    let (sender, mut receiver) = connection().await;
+    let (unread, _receiver) = connection().await;
+    let jobs = Jobs::default();
+    let answer = Reply::Refused(Refusal::not_run(Reason::Overloaded));
+    for offer_id in 0..70_000 {
+        assert_eq!(start(&jobs, offer_id, &unread), Arrival::Run);
+        jobs.finish(offer_id, Status::default(), answer.clone());
+    }
+    jobs.inquire(0, Status::default(), sender);
+    let Frame::Reply(0, _, reply) = receiver.next().await.unwrap() else {
+        panic!("no reply to the inquiry");
+    };
+    assert_eq!(verdict(&reply), LOST);
+}
+
+/// Guards against "not run" for a request that runs: a second copy of its offer was refused so.
+#[tokio::test]
+async fn a_repeated_offer_is_not_refused() {
+    let node = Node::new("n", 1, Duration::from_millis(100));
+    let (address, _running) = serve(&node).await;
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (sender, mut receiver) = session::start(stream).unwrap();
+    let offer = offer(false);
+    sender.send(Frame::Hello(Box::new(caller().hello())));
+    for _ in 0..2 {
+        sender.send(Frame::Offer(Box::new(offer.clone())));
+    }
+    let reply = loop {
+        if let Frame::Reply(_, _, reply) = receiver.next().await.unwrap() {
+            break reply;
+        }
+    };
+    assert_eq!((verdict(&reply), node.started()), (None, 1));
+}
+
+#[tokio::test]
+async fn an_inquiry_about_a_discarded_reply_says_may_have_run() {
+    let (sender, mut receiver) = connection().await;
     let jobs = Jobs::default();
     // Three answers of 3 MiB exceed the limit on retained replies, so the first is discarded.
     for offer_id in 0..3 {
-        assert!(jobs.start(offer_id, sender.clone()));
+        assert_eq!(start(&jobs, offer_id, &sender), Arrival::Run);
         let mut answer = Response::text(StatusCode::OK, "");
         answer.body = vec![0; 3 * 1024 * 1024].into();
         jobs.finish(offer_id, Status::default(), Reply::Answer((&answer).into()));
