Match the last slash of a route's prefix

Cause: the table removed the last slash of prefixes and paths and compared segments, while the configuration lets a prefix begin a path as written. Change: prefixes are kept as written. One without a last slash, as in the product's own bundles, matches whole segments as before; one with it no longer matches the path without it.

--- a/src/bundle/model.rs
+++ b/src/bundle/model.rs
@@ -122,7 +122,8 @@
 pub struct Route {
     /// Host that a request must name; absent matches any host.
     pub host: Option<String>,
-    /// Path prefix, matched in whole path segments.
+    /// Prefix of the paths that match. One that ends with a slash begins only paths that contain this
+    /// slash; another one ends at the end of a path segment.
     pub path: String,
     /// Method that a request must have; absent matches any method.
     pub method: Option<String>,
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -79,7 +79,7 @@
 /// Routing table of a bundle, with the weights of its tenants.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
-    /// Routes by host (`None` for any host) and path prefix; those for a method come first.
+    /// Routes by host (`None` for any host) and path prefix as written; those for a method come first.
     by_host: HashMap<Option<String>, HashMap<String, Vec<Arc<CompiledRoute>>>>,
     tenant_weights: HashMap<String, u32>,
 }
@@ -90,9 +90,8 @@
         let mut table = Self::default();
         for (name, route) in &bundle.routes {
             let paths = table.by_host.entry(route.host.clone()).or_default();
-            let path = route.path.trim_end_matches('/').to_owned();
             paths
-                .entry(path)
+                .entry(route.path.clone())
                 .or_default()
                 .push(Arc::new(resolve(bundle, name, route)));
         }
@@ -129,21 +128,22 @@
     }
 }
 
+/// Finds the route with the longest prefix that begins the path. A prefix that ends with a slash
+/// begins only paths that contain this slash; another one ends at the end of a path segment.
 fn find_path<'a>(
     paths: &'a HashMap<String, Vec<Arc<CompiledRoute>>>,
     method: &str,
     path: &str,
 ) -> Option<&'a Arc<CompiledRoute>> {
-    let mut prefix = path.trim_end_matches('/');
-    loop {
-        let routes = paths.get(prefix).map_or(&[][..], Vec::as_slice);
-        let method_matches =
-            |route: &&Arc<CompiledRoute>| route.method.as_deref().is_none_or(|m| m == method);
-        if let Some(route) = routes.iter().find(method_matches) {
-            return Some(route);
-        }
-        prefix = &prefix[..prefix.rfind('/')?];
-    }
+    let method_matches =
+        |route: &&Arc<CompiledRoute>| route.method.as_deref().is_none_or(|m| m == method);
+    let find = |prefix: &str| paths.get(prefix)?.iter().find(method_matches);
+    let slashes = path.rmatch_indices('/').map(|(index, _)| index);
+    find(path).or_else(|| {
+        slashes
+            .flat_map(|slash| [&path[..=slash], &path[..slash]])
+            .find_map(find)
+    })
 }
 
 fn resolve(bundle: &Bundle, name: &str, route: &Route) -> CompiledRoute {
@@ -164,3 +164,6 @@
         method: route.method.clone(),
     }
 }
+
+#[cfg(test)]
+mod tests;
