Send a further attempt on another connection than the failed one

Cause: answers are matched by the id of the request, which all its attempts share. A target's late second copy of a rejection answered the next attempt on the same connection. Change: a connection keeps the ids of the requests that failed on it; a further attempt of one of them uses another connection. Other requests still reuse it.

--- a/src/forward/tests/forwarder.rs
+++ b/src/forward/tests/forwarder.rs
@@ -16,7 +16,7 @@
 use crate::roster::Suspicions;
 use crate::target::Runner;
 use crate::telemetry::{Counters, Histograms};
-use crate::testing::{self, Action, FAILURE, GOOD, NullHandler, ScriptedTarget, request};
+use crate::testing::{self, Action, FAILURE, GOOD, NullHandler, REJECTED, ScriptedTarget, request};
 use crate::version::Versions;
 
 /// Routes to one service. Only requests of the type `safe` may be sent to a target twice.
@@ -116,8 +116,9 @@
 }
 
 macro_rules! outcome_tests {
-    ($($name:ident: $script:expr, $path:expr => $expected:expr,)*) => {
-        $(#[tokio::test]
+    ($($(#[doc = $doc:literal])* $name:ident: $script:expr, $path:expr => $expected:expr,)*) => {
+        $($(#[doc = $doc])*
+        #[tokio::test]
         async fn $name() {
             assert_eq!(outcome(&$script, $path).await, $expected);
         })*
@@ -134,6 +135,13 @@
     no_answer_before_the_deadline_gives_504: [Action::NeverAnswer], "/once/a" => (504, 1),
     a_lost_answer_gives_502_if_the_attempts_are_used_up:
         [Action::Close, Action::Answer(GOOD)], "/single/a" => (502, 1),
+    /// Guards against "not run" for a request that runs: a second copy of the rejection of its first
+    /// attempt was taken for the answer to the second.
+    a_late_copy_of_a_rejection_does_not_answer_the_next_attempt:
+        [Action::Answer(REJECTED), Action::AnswerAfterCopy(GOOD)], "/once/a" => (200, 2),
+    /// The same for a failure of the target.
+    a_late_copy_of_a_failure_does_not_answer_the_next_attempt:
+        [Action::Answer(FAILURE), Action::AnswerAfterCopy(GOOD)], "/safe/a" => (200, 2),
     // Of the two routes that match, only the one with the longer prefix allows a retry.
     the_longest_matching_prefix_selects_the_route:
         [Action::Close, Action::Answer(GOOD)], "/once/longer/a" => (200, 2),
--- a/src/target/connection.rs
+++ b/src/target/connection.rs
@@ -38,8 +38,19 @@
     InvalidResponse(String),
 }
 
-struct IdleConnection {
+/// Largest number of failed requests that a connection may have carried; it closes after that many.
+const MAX_FAILED_REQUESTS: usize = 32;
+
+/// A connection to the target.
+struct Connection {
     stream: Stream<TcpStream>,
+    /// Ids of the requests that were answered with a failure. The target may send the same answer
+    /// again, so a further attempt of such a request uses another connection.
+    failed_requests: Vec<String>,
+}
+
+struct IdleConnection {
+    connection: Connection,
     idle_since: Instant,
     /// Idle time after which the connection is not reused.
     max_idle: Duration,
@@ -66,12 +77,14 @@
         self.lock().clear();
     }
 
-    /// Sends a request and reads its whole response. `answers_request` gets the headers of a
-    /// response and whether the connection is new; responses for which it returns false belong to
-    /// earlier requests and are skipped. Dropping the future closes the connection.
+    /// Sends the request with the id `request_id` and reads its whole response. `answers_request`
+    /// gets the headers of a response and whether the connection is new; responses for which it
+    /// returns false belong to earlier requests and are skipped. Dropping the future closes the
+    /// connection.
     pub(super) async fn exchange(
         &self,
         request: &Request,
+        request_id: &str,
         idempotent: bool,
         answers_request: impl Fn(&HeaderMap, bool) -> bool,
     ) -> Result<Response, Failure> {
@@ -80,14 +93,15 @@
         } else {
             MAX_IDLE_TIME_NON_IDEMPOTENT
         };
-        let (mut stream, is_new) = match self.check_out(max_idle) {
-            Some(stream) => (stream, false),
+        let (mut connection, is_new) = match self.check_out(max_idle, request_id) {
+            Some(connection) => (connection, false),
             None => (self.open().await?, true),
         };
-        let written = stream.write_request(request).await;
+        let written = connection.stream.write_request(request).await;
         written.map_err(|error| Failure::ConnectionLost(error.to_string()))?;
         loop {
-            let response = stream
+            let response = connection
+                .stream
                 .read_response(&request.method, MAX_RESPONSE_BYTES)
                 .await;
             let response = response.map_err(|fault| match fault {
@@ -95,7 +109,10 @@
                 _ => Failure::InvalidResponse(fault.to_string()),
             })?;
             if answers_request(&response.headers, is_new) {
-                self.check_in(stream, &response);
+                if !response.status.is_success() {
+                    connection.failed_requests.push(request_id.to_owned());
+                }
+                self.check_in(connection, &response);
                 return Ok(response);
             }
             log::info!(
@@ -111,7 +128,7 @@
         self.open().await.is_ok()
     }
 
-    async fn open(&self) -> Result<Stream<TcpStream>, Failure> {
+    async fn open(&self) -> Result<Connection, Failure> {
         let not_sent = |error: std::io::Error| Failure::NotSent(error.to_string());
         let connect = TcpStream::connect(self.address);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect)
@@ -119,33 +136,39 @@
             .map_err(|_| Failure::NotSent("timed out".into()))?
             .map_err(not_sent)?;
         stream.set_nodelay(true).map_err(not_sent)?;
-        Ok(Stream::with_allowance(stream, self.allowance.clone()))
+        Ok(Connection {
+            stream: Stream::with_allowance(stream, self.allowance.clone()),
+            failed_requests: Vec::new(),
+        })
     }
 
-    /// Takes an idle connection that was used less than `max_idle` ago. Drops those that the target
-    /// has closed or may soon close.
-    fn check_out(&self, max_idle: Duration) -> Option<Stream<TcpStream>> {
+    /// Takes an idle connection that was used less than `max_idle` ago and on which the request did
+    /// not fail before. Drops those that the target has closed or may soon close.
+    fn check_out(&self, max_idle: Duration, request_id: &str) -> Option<Connection> {
         let mut idle = self.lock();
         idle.retain(|entry| entry.idle_since.elapsed() < entry.max_idle && entry.is_reusable());
-        let newest = idle.pop()?;
-        if newest.idle_since.elapsed() < max_idle {
-            return Some(newest.stream);
-        }
-        idle.push(newest);
-        None
+        let newest = idle.iter().rposition(|entry| {
+            let failed_requests = &entry.connection.failed_requests;
+            !failed_requests.iter().any(|id| id == request_id)
+        })?;
+        (idle[newest].idle_since.elapsed() < max_idle).then(|| idle.remove(newest).connection)
     }
 
     /// Keeps a connection for another request, unless the target closes it after the response,
-    /// bytes beyond the response arrived on it, or [`MAX_IDLE_CONNECTIONS`] are kept already.
-    fn check_in(&self, stream: Stream<TcpStream>, response: &Response) {
-        if !response.keep_alive || stream.has_unread_bytes() {
+    /// bytes beyond the response arrived on it, [`MAX_FAILED_REQUESTS`] failed on it, or
+    /// [`MAX_IDLE_CONNECTIONS`] are kept already.
+    fn check_in(&self, connection: Connection, response: &Response) {
+        if !response.keep_alive
+            || connection.stream.has_unread_bytes()
+            || connection.failed_requests.len() >= MAX_FAILED_REQUESTS
+        {
             return;
         }
         let max_idle = max_idle_from_keep_alive(&response.headers).unwrap_or(MAX_IDLE_TIME);
         let mut idle = self.lock();
         if idle.len() < MAX_IDLE_CONNECTIONS {
             idle.push(IdleConnection {
-                stream,
+                connection,
                 idle_since: Instant::now(),
                 max_idle: max_idle.min(MAX_IDLE_TIME),
             });
@@ -161,7 +184,7 @@
     /// Whether the target has neither sent bytes nor closed the connection since its last response.
     fn is_reusable(&self) -> bool {
         let mut byte = [0];
-        let read = self.stream.get_ref().try_read(&mut byte);
+        let read = self.connection.stream.get_ref().try_read(&mut byte);
         matches!(read, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
     }
 }
--- a/src/target/runner.rs
+++ b/src/target/runner.rs
@@ -351,9 +351,12 @@
                 // without an id may belong to an earlier request.
                 None => is_new_connection,
             };
-        let exchange = self
-            .connections
-            .exchange(&request, offer.idempotent, answers_request);
+        let exchange = self.connections.exchange(
+            &request,
+            &offer.request_id,
+            offer.idempotent,
+            answers_request,
+        );
         let outcome = tokio::time::timeout(remaining, exchange).await;
         drop(permit);
         match outcome {
--- a/src/target/tests/runner.rs
+++ b/src/target/tests/runner.rs
@@ -11,7 +11,7 @@
 use crate::platform;
 use crate::roster::{Crash, Presence, Suspicions};
 use crate::target::{Finding, Outcome, Runner};
-use crate::testing::{Action, FAILURE, GOOD, ScriptedTarget, offer, until};
+use crate::testing::{Action, FAILURE, GOOD, REJECTED, ScriptedTarget, offer, until};
 use crate::verdict::{Reason, Refusal, Verdict};
 
 /// Fingerprint of the requests that [`offer`] builds.
@@ -32,7 +32,7 @@
     bluebellgap-server-stamp: s\r\ncontent-length: 2\r\n\r\nok";
 const GOOD_THEN_MORE: &str = "HTTP/1.1 200 OK\r\nbluebellgap-request-id: {id}\r\n\
     bluebellgap-server-stamp: s\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n";
-const REJECTED: &str = "HTTP/1.1 503 Service Unavailable\r\nbluebellgap-request-id: {id}\r\n\
+const ANONYMOUS_REJECTION: &str = "HTTP/1.1 503 Service Unavailable\r\n\
     bluebellgap-not-run: 1\r\ncontent-length: 0\r\n\r\n";
 const MISDIRECTED: &str = "HTTP/1.1 421 Misdirected Request\r\nbluebellgap-request-id: {id}\r\n\
     content-length: 0\r\n\r\n";
@@ -164,6 +164,37 @@
     assert_eq!(fixture.target.connections(), 1);
 }
 
+#[tokio::test]
+async fn a_connection_is_reused_for_another_request_after_a_rejection() {
+    let fixture = fixture(&[Action::Answer(REJECTED), Action::Answer(GOOD)]).await;
+    run(&fixture.runner, false).await.unwrap_err();
+    run(&fixture.runner, false).await.unwrap();
+    assert_eq!(fixture.target.connections(), 1);
+}
+
+/// Guards against "not run" for a request that runs: a faulty target writes the rejection of an
+/// earlier request once more, or an answer that names no request.
+async fn check_copied_rejection(rejection: &'static str) {
+    let script = [Action::Answer(GOOD), Action::Answer(rejection)];
+    let script = [&script[..], &[Action::AnswerAfterCopy(GOOD)]].concat();
+    let fixture = fixture(&script).await;
+    run(&fixture.runner, false).await.unwrap();
+    let _ = run(&fixture.runner, false).await;
+    let answer = run(&fixture.runner, false).await.unwrap();
+    assert_eq!(&answer.body[..], b"ok");
+    assert_eq!(fixture.target.requests(), 3);
+}
+
+#[tokio::test]
+async fn a_copied_rejection_of_another_request_is_skipped() {
+    check_copied_rejection(REJECTED).await;
+}
+
+#[tokio::test]
+async fn a_rejection_that_names_no_request_is_skipped_on_a_used_connection() {
+    check_copied_rejection(ANONYMOUS_REJECTION).await;
+}
+
 #[tokio::test]
 async fn a_connection_with_bytes_after_the_response_is_not_reused() {
     let fixture = fixture(&[Action::Answer(GOOD_THEN_MORE), Action::Answer(GOOD)]).await;
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -26,6 +26,8 @@
     AnswerAfter(Duration, &'static str),
     /// Writes this answer, then closes the connection.
     AnswerAndClose(&'static str),
+    /// Writes the last answer on the connection once more, if there is one, then this answer.
+    AnswerAfterCopy(&'static str),
     /// Closes the connection without an answer.
     Close,
     /// Keeps the connection open without an answer until the client closes it.
@@ -41,6 +43,10 @@
 pub(crate) const FAILURE: &str = "HTTP/1.1 500 Internal Server Error\r\n\
     bluebellgap-request-id: {id}\r\nbluebellgap-server-stamp: s\r\ncontent-length: 3\r\n\r\nbad";
 
+/// An answer of a target that did not run the request.
+pub(crate) const REJECTED: &str = "HTTP/1.1 503 Service Unavailable\r\nbluebellgap-request-id: {id}\r\n\
+    bluebellgap-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+
 /// A target that handles its n-th request, counted over all connections, by the n-th action of its
 /// script. The last action applies to all further requests.
 #[derive(Clone)]
@@ -78,6 +84,7 @@
     async fn serve(self, stream: TcpStream, script: Vec<Action>) {
         let (reader, mut writer) = stream.into_split();
         let mut reader = Stream::new(reader);
+        let mut last_answer = String::new();
         while reader.wait_for_bytes().await.is_ok() {
             let Ok((request, framing)) = reader.read_request_head(65_536).await else {
                 return;
@@ -88,7 +95,12 @@
             let id = request.headers["bluebellgap-request-id"].to_str().unwrap();
             match &script[number.min(script.len() - 1)] {
                 Action::Answer(text) => {
-                    let _ = writer.write_all(text.replace("{id}", id).as_bytes()).await;
+                    last_answer = text.replace("{id}", id);
+                    let _ = writer.write_all(last_answer.as_bytes()).await;
+                }
+                Action::AnswerAfterCopy(text) => {
+                    last_answer += &text.replace("{id}", id);
+                    let _ = writer.write_all(last_answer.as_bytes()).await;
                 }
                 Action::AnswerAfter(delay, text) => {
                     tokio::time::sleep(*delay).await;
