Keep the departure of a target over restarts of its node

Cause: the node's row in the store is the only place where a departure outlives the process, and a stopping node whose target had left deleted it. Change: the row stays, the watcher deletes it if the node stays away; departures and draining are stored before they are acknowledged, announced in every phase and by the next process again; the first write waits for the first read; a restored departure also outdates a heartbeat that came before it was read.

--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -177,7 +177,8 @@
     pub id: String,
     /// Start time of the target in milliseconds since 1970.
     pub started_ms: u64,
-    /// Sequence number of the heartbeat that this announcement is based on.
+    /// Sequence number of the heartbeat that this announcement is based on; the largest number once
+    /// the target has departed.
     pub sequence: u64,
     /// Service that it runs.
     pub service: String,
@@ -187,6 +188,21 @@
     pub cold_ms: u64,
 }
 
+impl Target {
+    /// The target after its departure: none of its heartbeats counts any more.
+    pub(crate) fn departed(self) -> Self {
+        Self {
+            sequence: u64::MAX,
+            ..self
+        }
+    }
+
+    /// Whether the target has left for good.
+    pub(crate) fn has_departed(&self) -> bool {
+        self.sequence == u64::MAX
+    }
+}
+
 impl Entry {
     /// Digest of the node's name, incarnation and revision.
     pub(crate) fn digest(&self) -> u64 {
--- a/src/sidecar/heartbeat.rs
+++ b/src/sidecar/heartbeat.rs
@@ -1,23 +1,28 @@
 //! HTTP handler of the listener that receives heartbeats and departure notices of the target.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
 
-use crate::dialect::{Dialect, Notice};
+use crate::dialect::{Dialect, Notice, Phase};
 use crate::http::{self, Body, full, read_whole};
-use crate::target::{Outcome, Runner};
+use crate::sidecar::hub::Hub;
+use crate::target::Outcome;
 
+/// Time to store that the target drains or has departed before the notice is acknowledged; below the
+/// time for which targets wait for the acknowledgement.
+const STORE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest accepted body of a notice.
 const MAX_NOTICE_BYTES: usize = 64 * 1024;
 
 /// Passes heartbeats and departure notices of the target to the runner.
 pub(super) struct Handler {
     pub dialect: Arc<dyn Dialect>,
-    pub runner: Arc<Runner>,
+    pub hub: Arc<Hub>,
 }
 
 #[async_trait]
@@ -32,7 +37,10 @@
         };
         match notice {
             Ok(notice) => {
-                self.apply(notice);
+                if self.apply(notice) {
+                    let stored = self.hub.wait_until_stored();
+                    let _ = tokio::time::timeout(STORE_TIMEOUT, stored).await;
+                }
                 self.acknowledge()
             }
             Err(fault) => {
@@ -48,12 +56,17 @@
 }
 
 impl Handler {
-    fn apply(&self, notice: Notice) {
+    /// Applies a notice; returns whether it says that the target drains or has departed, which binds
+    /// later processes of this node too.
+    fn apply(&self, notice: Notice) -> bool {
+        let runner = &self.hub.runner;
         match notice {
             Notice::Heartbeat(heartbeat) => {
                 let id = heartbeat.id.clone();
                 let (started_ms, sequence) = (heartbeat.started_ms, heartbeat.sequence);
-                if self.runner.apply_heartbeat(heartbeat) == Outcome::Stale {
+                let drains = heartbeat.phase == Phase::Draining;
+                let outcome = runner.apply_heartbeat(heartbeat);
+                if outcome == Outcome::Stale {
                     log::info!(
                         event = "heartbeat_stale",
                         target_id = id.as_str(),
@@ -62,8 +75,12 @@
                         "heartbeat ignored; it is outdated or its target has departed"
                     );
                 }
+                drains && outcome == Outcome::Changed
+            }
+            Notice::Departure { id, started_ms } => {
+                runner.apply_departure(&id, started_ms);
+                true
             }
-            Notice::Departure { id, started_ms } => self.runner.apply_departure(&id, started_ms),
         }
     }
 
--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::directory::Directory;
 use crate::h1::Response;
@@ -32,6 +32,10 @@
     /// Whether this node's last read of the store succeeded; `true` before the first. Only the
     /// watcher reads the store, so the value on other nodes may be old.
     pub store_reachable: AtomicBool,
+    /// Presence and target that the node's row in the store shows.
+    stored: watch::Sender<(Presence, Option<Target>)>,
+    /// Whether entries were read from the store since the start.
+    entries_read: watch::Sender<bool>,
     own_entry: Mutex<Entry>,
     version_lag: Mutex<VersionLag>,
     neighbours: Mutex<Neighbours>,
@@ -54,6 +58,8 @@
             suspicions,
             announcement_due: Notify::new(),
             store_reachable: AtomicBool::new(true),
+            stored: watch::Sender::new((Presence::Down, None)),
+            entries_read: watch::Sender::new(false),
             own_entry: Mutex::new(own_entry.clone()),
             version_lag: Mutex::default(),
             neighbours: Mutex::default(),
@@ -101,6 +107,31 @@
         self.announcement_due.notify_one();
     }
 
+    /// Records what the node's row in the store shows.
+    pub(crate) fn record_stored(&self, entry: Entry) {
+        self.stored.send_replace((entry.presence, entry.target));
+    }
+
+    /// Waits until the node's row in the store shows what is known of the target, so that it outlives
+    /// this process.
+    pub(crate) async fn wait_until_stored(&self) {
+        let presence = self.runner.subscribe();
+        let mut stored = self.stored.subscribe();
+        let _ = stored
+            .wait_for(|stored| *stored == *presence.borrow())
+            .await;
+    }
+
+    /// Records that the entries were read from the store.
+    pub(crate) fn record_entries_read(&self) {
+        self.entries_read.send_replace(true);
+    }
+
+    /// Waits until the entries were read from the store.
+    pub(crate) async fn wait_until_entries_read(&self) {
+        let _ = self.entries_read.subscribe().wait_for(|read| *read).await;
+    }
+
     /// Handles an entry of this node that came from elsewhere. One of an earlier process shows
     /// which heartbeats of the target are outdated.
     fn reconcile_own(&self, entry: &Entry) {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -37,10 +37,10 @@
 use crate::version::Versions;
 
 /// How long before the end of the grace time the node stops waiting for requests and connections.
-/// Longer than [`WITHDRAW_TIMEOUT`], because the entry may be deleted after that.
+/// Longer than [`LAST_WRITE_TIMEOUT`], because the entry may still be written after that.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
-/// Time to delete the node's entry from the store; if that fails, the watcher deletes it later.
-const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time at the end of a shutdown for the last change of the node's entry to reach the store.
+const LAST_WRITE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time before the exit that is left for connections to close: callers' requests that are still in
 /// flight at its start are refused. It is also the wait after the callers' connections have closed
 /// and the target is idle, in which the last replies to other nodes are still sent.
@@ -134,7 +134,7 @@
         if let Some(address) = listen.heartbeat {
             let handler = heartbeat::Handler {
                 dialect: dialect.clone(),
-                runner: runner.clone(),
+                hub: hub.clone(),
             };
             servers.push(Server::start(address, Arc::new(handler))?);
         }
@@ -263,11 +263,9 @@
             tokio::time::sleep(CLOSE_GRACE).await;
         };
         let closed = tokio::time::timeout_at(deadline, closed).await;
-        if !self.runner.has_target() {
-            // A target ends before its node only if the VM is being released.
-            let withdrawn = tasks::withdraw(self.store.as_ref(), &self.settings.node);
-            let _ = tokio::time::timeout(WITHDRAW_TIMEOUT, withdrawn).await;
-        }
+        // The entry stays in the store: after a restart, it shows whether the target has left. The
+        // watcher deletes it if the node does not come back.
+        let _ = tokio::time::timeout(LAST_WRITE_TIMEOUT, self.hub.wait_until_stored()).await;
         log::info!(
             event = "stopped",
             unanswered = answered.is_err(),
--- a/src/sidecar/tasks.rs
+++ b/src/sidecar/tasks.rs
@@ -54,6 +54,9 @@
 /// Longest pause after a failed read by a node of any rank; shorter than the time in which entries
 /// have to be up to date again after an outage.
 const MAX_READ_RETRY_PAUSE: Duration = Duration::from_millis(1_600);
+/// Longest wait for the first read of the entries before the node's own entry is written. It is not
+/// read from the store if another node became the watcher meanwhile.
+const FIRST_READ_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval at which other nodes are queried while the store is unreachable, the first version is
 /// overdue or some node has a higher version; with a random jitter of up to 25 %.
 const QUERY_PERIOD: Duration = Duration::from_millis(400);
@@ -189,6 +192,7 @@
         hub.apply_entries(entries.clone());
         hub.relay_entries(entries);
     }
+    hub.record_entries_read();
 }
 
 /// Removes the node of a deleted row; returns the entry of a valid written row.
@@ -245,13 +249,15 @@
 }
 
 /// Writes the node's own entry whenever it has changed, or its row in the store was deleted or
-/// replaced by an older one. Ends when `stopped` closes, but not while it retries a write.
+/// replaced by an older one. Begins after the row of an earlier process was read, because the first
+/// write replaces it. Ends when `stopped` closes, but not while it retries a write.
 pub(super) async fn announce(
     table: Arc<dyn Table>,
     hub: Arc<Hub>,
     mut stopped: watch::Receiver<()>,
 ) {
     let mut pause = MIN_RETRY_PAUSE;
+    let _ = tokio::time::timeout(FIRST_READ_TIMEOUT, hub.wait_until_entries_read()).await;
     loop {
         tokio::select! {
             () = hub.announcement_due.notified() => {}
@@ -263,7 +269,9 @@
             match table.transact(&transaction).await {
                 Ok(_) => {
                     pause = MIN_RETRY_PAUSE;
-                    if hub.own_entry() == entry {
+                    let is_current = hub.own_entry() == entry;
+                    hub.record_stored(entry);
+                    if is_current {
                         break;
                     }
                 }
@@ -280,9 +288,9 @@
     }
 }
 
-/// Deletes a node's entry from the store. Tries once; if it fails, a later sweep of the watcher
-/// tries again for a node that is unreachable, but not for one that was replaced.
-pub(super) async fn withdraw(table: &dyn Table, node: &str) {
+/// Deletes the entry of another node from the store. Tries once; if it fails, a later sweep of the
+/// watcher tries again for a node that is unreachable, but not for one that was replaced.
+async fn withdraw(table: &dyn Table, node: &str) {
     let transaction = Transaction::default().delete(&entry_key(node));
     if let Err(error) = table.transact(&transaction).await {
         log::info!(
--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -9,9 +9,11 @@
 
 use crate::dialect::{Heartbeat, Phase};
 use crate::forward::Limits;
-use crate::platform::sample;
+use crate::http::Server;
+use crate::link::{Entry, Target};
+use crate::platform::{self, sample};
 use crate::sidecar::tasks::NODE_TABLE;
-use crate::sidecar::{Listen, Settings, Shutdown, Sidecar};
+use crate::sidecar::{Listen, Settings, Shutdown, Sidecar, heartbeat as heartbeat_listener};
 use crate::standin::{StoreFault, StoreServer};
 use crate::testing::{Action, GOOD, ScriptedTarget, read_to_end, until};
 
@@ -65,7 +67,11 @@
 
 /// Delivers a heartbeat of the target beside the node.
 fn send_heartbeat(node: &Sidecar) {
-    node.runner.apply_heartbeat(Heartbeat {
+    node.runner.apply_heartbeat(heartbeat(node));
+}
+
+fn heartbeat(node: &Sidecar) -> Heartbeat {
+    Heartbeat {
         id: format!("t-{}", node.settings.node),
         started_ms: 1,
         sequence: 1,
@@ -73,7 +79,7 @@
         slots: 4,
         phase: Phase::Ready,
         cold_left: Duration::ZERO,
-    });
+    }
 }
 
 /// Sends a request with a deadline in `deadline_ms`, and reads until the connection closes.
@@ -176,6 +182,73 @@
     assert_eq!(target.requests(), 1);
 }
 
+/// Starts the node `own` with a target, and waits until its row in the store shows the target.
+async fn start_serving(store: &StoreServer, target: &ScriptedTarget) -> Sidecar {
+    let node = Sidecar::start(settings("own", store, target.address)).unwrap();
+    send_heartbeat(&node);
+    until("row shows the target", || stored_target(store).is_some()).await;
+    node
+}
+
+/// The target in the stored entry of the node `own`.
+fn stored_target(store: &StoreServer) -> Option<Target> {
+    let value = store.value(NODE_TABLE, "own")?;
+    serde_json::from_str::<Entry>(&value).unwrap().target
+}
+
+/// Delivers a heartbeat that the target of [`send_heartbeat`] sent later.
+fn send_late_heartbeat(node: &Sidecar) {
+    node.runner.apply_heartbeat(Heartbeat {
+        sequence: 9,
+        ..heartbeat(node)
+    });
+}
+
+/// Guards against an instance that left while its node was stopped and started again, and was in use
+/// again after a late heartbeat: the stopping node deleted the row that shows the departure.
+#[tokio::test]
+async fn a_target_that_left_during_a_restart_of_its_node_is_not_used_again() {
+    let store = store().await;
+    let target = ScriptedTarget::start(&[Action::Answer(GOOD)]).await;
+    let node = start_serving(&store, &target).await;
+    let runner = node.runner.clone();
+    let leaving = tokio::spawn(node.leave());
+    runner.apply_departure("t-own", Some(1));
+    leaving.await.unwrap();
+    let restarted = Sidecar::start(settings("own", &store, target.address)).unwrap();
+    send_late_heartbeat(&restarted);
+    until("departure restored", || !restarted.runner.has_target()).await;
+    send_late_heartbeat(&restarted);
+    assert!(!restarted.runner.has_target());
+    until("version 1 in force", || restarted.version() == 1).await;
+    let answer = send_request(restarted.caller_address(), 1_000).await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert_eq!(target.requests(), 0);
+    assert!(stored_target(&store).is_some_and(|target| target.has_departed()));
+}
+
+/// Guards against the same after a kill: the departure was acknowledged before it was stored.
+#[tokio::test]
+async fn a_departure_is_stored_before_it_is_acknowledged() {
+    let store = store().await;
+    let target = ScriptedTarget::start(&[Action::Answer(GOOD)]).await;
+    let node = start_serving(&store, &target).await;
+    let handler = heartbeat_listener::Handler {
+        dialect: std::sync::Arc::new(platform::Dialect),
+        hub: node.hub.clone(),
+    };
+    let server = Server::start(ANY_PORT, std::sync::Arc::new(handler)).unwrap();
+    let mut stream = TcpStream::connect(server.address()).await.unwrap();
+    let path = sample::instance_path("t-own");
+    let text = format!(
+        "DELETE {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let answer = read_to_end(&mut stream).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(stored_target(&store).is_some_and(|target| target.has_departed()));
+}
+
 /// An entry of the node `name` as JSON, with one field replaced by this JSON text.
 fn odd_entry(name: &str, field: &str, json: &str) -> String {
     let entry = crate::testing::entry(name, "bkk", "bkk-a", 1);
--- a/src/standin/store.rs
+++ b/src/standin/store.rs
@@ -8,6 +8,10 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+#[cfg(test)]
+use base64::Engine;
+#[cfg(test)]
+use base64::engine::general_purpose::STANDARD;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::watch;
@@ -119,6 +123,15 @@
         self.shared.write(vec![Row::put(table, key, value)]);
     }
 
+    /// Value of a row with an empty part, if there is one.
+    #[cfg(test)]
+    pub(crate) fn value(&self, table: &str, key: &str) -> Option<String> {
+        let key = Row::reference(table, key).full_key();
+        let row = self.shared.lock().rows.get(&key)?.clone();
+        let bytes = STANDARD.decode(row.value?).ok()?;
+        String::from_utf8(bytes).ok()
+    }
+
     /// Keys of the rows of a table.
     #[must_use]
     pub fn keys(&self, table: &str) -> Vec<String> {
--- a/src/target/identity.rs
+++ b/src/target/identity.rs
@@ -47,8 +47,16 @@
     /// Whether the heartbeat is not newer than the announcement.
     fn covers(&self, heartbeat: &Heartbeat) -> bool {
         let started_earlier = heartbeat.started_ms < self.started_ms;
-        let same_target = heartbeat.id == self.id && heartbeat.started_ms == self.started_ms;
-        started_earlier || same_target && heartbeat.sequence <= self.sequence
+        started_earlier || self.is_same(heartbeat) && heartbeat.sequence <= self.sequence
+    }
+
+    /// Whether the announcement is newer than the heartbeat of the same target.
+    fn replaces(&self, heartbeat: &Heartbeat) -> bool {
+        self.is_same(heartbeat) && heartbeat.sequence < self.sequence
+    }
+
+    fn is_same(&self, heartbeat: &Heartbeat) -> bool {
+        heartbeat.id == self.id && heartbeat.started_ms == self.started_ms
     }
 }
 
@@ -84,13 +92,22 @@
 
     /// Sets the target that an earlier process of the node announced. It does not become the current
     /// one, but its heartbeats up to `sequence`, and those of targets that started before it, count
-    /// as stale.
-    pub(crate) fn restore(&mut self, id: &str, started_ms: u64, sequence: u64) {
-        self.restored = Some(RestoredTarget {
+    /// as stale. If the current target is this one, known from an earlier heartbeat, it is no longer
+    /// current, and the call returns `true`. Has no effect if a newer announcement was restored.
+    pub(crate) fn restore(&mut self, id: &str, started_ms: u64, sequence: u64) -> bool {
+        let is_older =
+            |known: &RestoredTarget| (started_ms, sequence) < (known.started_ms, known.sequence);
+        if self.restored.as_ref().is_some_and(is_older) {
+            return false;
+        }
+        let restored = RestoredTarget {
             id: id.to_owned(),
             started_ms,
             sequence,
-        });
+        };
+        let outdated = self.current.take_if(|current| restored.replaces(current));
+        self.restored = Some(restored);
+        outdated.is_some()
     }
 
     /// Applies a heartbeat, unless it is [`Outcome::Stale`], for example because it was delayed.
--- a/src/target/runner.rs
+++ b/src/target/runner.rs
@@ -54,8 +54,7 @@
 struct LastTargets {
     /// Target that an earlier process of the node announced.
     restored: Option<Target>,
-    /// Target that departed last, with the highest sequence number, because none of its heartbeats
-    /// counts any more.
+    /// Target that departed last.
     departed: Option<Target>,
 }
 
@@ -131,21 +130,25 @@
             );
             self.limiter.retain_service(&current.service);
         }
-        self.update_presence();
+        self.update_presence(outcome == Outcome::Changed);
         outcome
     }
 
     /// Restores what an earlier process of this node announced of the target, so that older
-    /// heartbeats are ignored. Has no effect if a target is already known.
-    pub(crate) fn restore(&self, target: &Target) {
-        let mut identity = lock(&self.identity);
-        if identity.current().is_none() {
-            identity.restore(&target.id, target.started_ms, target.sequence);
-            lock(&self.last_targets).restored = Some(target.clone());
+    /// heartbeats are ignored, also if they arrived before.
+    pub(crate) fn restore(self: &Arc<Self>, target: &Target) {
+        let outdated = lock(&self.identity).restore(&target.id, target.started_ms, target.sequence);
+        let mut last_targets = lock(&self.last_targets);
+        let restored = last_targets.restored.take();
+        last_targets.restored = newest([restored, Some(target.clone())]);
+        drop(last_targets);
+        if outdated || target.has_departed() {
+            self.update_presence(false);
         }
     }
 
     /// Whether a target is known that has not departed.
+    #[cfg(test)]
     pub(crate) fn has_target(&self) -> bool {
         lock(&self.identity).current().is_some()
     }
@@ -158,14 +161,12 @@
         drop(identity);
         let mut last_targets = lock(&self.last_targets);
         let known = current.or_else(|| last_targets.restored.clone());
-        let departed = known.filter(|target| {
+        let known = known.filter(|target| {
             target.id == id && started_ms.is_none_or(|started| started == target.started_ms)
         });
-        if departed.is_some() {
-            last_targets.departed = departed.map(|target| Target {
-                sequence: u64::MAX,
-                ..target
-            });
+        let unknown = || started_ms.map(|started_ms| unknown_target(id, started_ms));
+        if let Some(target) = known.or_else(unknown) {
+            last_targets.departed = Some(target.departed());
         }
         drop(last_targets);
         if is_current {
@@ -175,19 +176,20 @@
                 "target announced its departure; it gets no new requests"
             );
         }
-        self.update_presence();
+        self.update_presence(false);
     }
 
     /// Refuses queued and new requests because the node is shutting down.
     pub(crate) fn drain(self: &Arc<Self>) {
         self.draining.store(true, Ordering::Relaxed);
-        self.update_presence();
+        self.update_presence(false);
     }
 
     /// Determines the presence of the target, opens or closes the limiter accordingly, and
-    /// publishes presence and target if the presence or the target's id, start, service or slots
-    /// changed.
-    fn update_presence(self: &Arc<Self>) {
+    /// publishes presence and target if they changed in more than the number of the last heartbeat.
+    /// `heartbeat_changed` says that a heartbeat changed the target, which is published even if the
+    /// presence does not show it, as the phase while the node itself shuts down.
+    fn update_presence(self: &Arc<Self>, heartbeat_changed: bool) {
         let identity = lock(&self.identity);
         let current = identity.current();
         let unreachable = lock(&self.unreachable_until).is_some_and(|until| Instant::now() < until);
@@ -206,17 +208,15 @@
         let target = current.map(announced_target);
         drop(identity);
         // A later process of this node restores from it which heartbeats are outdated.
-        let target = target.or_else(|| lock(&self.last_targets).departed.clone());
+        let target = target.or_else(|| {
+            let last_targets = lock(&self.last_targets);
+            newest([last_targets.restored.clone(), last_targets.departed.clone()])
+        });
         self.presence.send_if_modified(|published| {
-            let same_target = match (&published.1, &target) {
-                (Some(a), Some(b)) => {
-                    (&a.id, a.started_ms, &a.service, a.slots)
-                        == (&b.id, b.started_ms, &b.service, b.slots)
-                }
-                (None, None) => true,
-                _ => false,
-            };
-            if published.0 == presence && same_target {
+            let is_same = published.0 == presence
+                && published.1.as_ref().map(announced_facts)
+                    == target.as_ref().map(announced_facts);
+            if is_same && !heartbeat_changed {
                 return false;
             }
             *published = (presence, target);
@@ -433,11 +433,11 @@
     /// Sends the target no requests for [`UNREACHABLE_PAUSE`], because it accepts no connections.
     fn mark_unreachable(self: &Arc<Self>) {
         *lock(&self.unreachable_until) = Some(Instant::now() + UNREACHABLE_PAUSE);
-        self.update_presence();
+        self.update_presence(false);
         let runner = self.clone();
         tokio::spawn(async move {
             tokio::time::sleep(UNREACHABLE_PAUSE).await;
-            runner.update_presence();
+            runner.update_presence(false);
         });
     }
 
@@ -486,6 +486,36 @@
     }
 }
 
+/// Of two targets, the one that started later, or of which more heartbeats count as outdated.
+fn newest(targets: [Option<Target>; 2]) -> Option<Target> {
+    let targets = targets.into_iter().flatten();
+    targets.max_by_key(|target| (target.started_ms, target.sequence))
+}
+
+/// A target of which only its departure is known.
+fn unknown_target(id: &str, started_ms: u64) -> Target {
+    Target {
+        id: id.to_owned(),
+        started_ms,
+        sequence: 0,
+        service: String::new(),
+        slots: 0,
+        cold_ms: 0,
+    }
+}
+
+/// What is announced anew when it changes.
+fn announced_facts(target: &Target) -> (&str, u64, &str, u32, bool) {
+    let Target {
+        id,
+        started_ms,
+        service,
+        slots,
+        ..
+    } = target;
+    (id, *started_ms, service, *slots, target.has_departed())
+}
+
 /// What the node's entry says of a target.
 fn announced_target(heartbeat: &Heartbeat) -> Target {
     Target {
--- a/src/target/tests/identity.rs
+++ b/src/target/tests/identity.rs
@@ -39,7 +39,9 @@
             Beat(id, started_ms, sequence, phase) => {
                 identity.apply(heartbeat(id, started_ms, sequence, phase));
             }
-            Restore(id, started_ms, sequence) => identity.restore(id, started_ms, sequence),
+            Restore(id, started_ms, sequence) => {
+                identity.restore(id, started_ms, sequence);
+            }
             Departure(id, started_ms) => {
                 // Each departure notice arrives 50 ms after `START_MS`.
                 identity.apply_departure(id, started_ms, START_MS + 50);
@@ -88,6 +90,16 @@
         [Restore("a", START_MS, 4), Beat("a", START_MS, 5, Draining)] => Some(("a", Draining)),
     a_restarted_node_accepts_a_later_target:
         [Restore("a", START_MS, 4), Beat("b", START_MS + 5, 1, Ready)] => Some(("b", Ready)),
+    a_heartbeat_before_the_restored_one_is_outdated_by_it:
+        [Beat("a", START_MS, 3, Ready), Restore("a", START_MS, 4)] => None,
+    a_heartbeat_after_the_restored_one_stays_in_force:
+        [Beat("a", START_MS, 5, Ready), Restore("a", START_MS, 4)] => Some(("a", Ready)),
+    a_restored_departure_of_an_earlier_target_does_not_affect_the_new_one:
+        [Beat("b", START_MS + 10, 1, Ready), Restore("a", START_MS, u64::MAX)]
+            => Some(("b", Ready)),
+    an_older_announcement_does_not_replace_the_restored_one:
+        [Restore("a", START_MS, u64::MAX), Restore("a", START_MS, 4), Beat("a", START_MS, 5, Ready)]
+            => None,
     a_newer_target_replaces_the_earlier_one:
         [Beat("a", START_MS, 30, Ready), Beat("b", START_MS + 10, 1, Ready)] => Some(("b", Ready)),
 }
--- a/src/target/tests/runner.rs
+++ b/src/target/tests/runner.rs
@@ -404,6 +404,18 @@
     }
 }
 
+/// The target of [`beat`] with the start 1,000, after its departure.
+fn departed_target() -> Target {
+    Target {
+        id: "t1".into(),
+        started_ms: 1_000,
+        sequence: u64::MAX,
+        service: "booking".into(),
+        slots: 1,
+        cold_ms: 0,
+    }
+}
+
 /// Guards against a target that left and is in use again after its node restarted: a late heartbeat
 /// may be newer than the last one that the earlier process announced.
 #[tokio::test]
@@ -424,18 +436,61 @@
 #[tokio::test]
 async fn a_departure_that_a_restarted_node_receives_is_announced_for_its_next_process() {
     let before = unknown_target();
-    let target = Target {
-        id: "t1".into(),
-        started_ms: 1_000,
+    before.restore(&Target {
         sequence: 2,
-        service: "booking".into(),
-        slots: 1,
-        cold_ms: 0,
-    };
-    before.restore(&target);
+        ..departed_target()
+    });
     before.apply_departure("t1", Some(1_000));
     let (_, announced) = before.subscribe().borrow().clone();
     let restarted = unknown_target();
     restarted.restore(&announced.expect("the departed target is not announced"));
     assert_eq!(restarted.apply_heartbeat(beat(1_000, 9)), Outcome::Stale);
 }
+
+/// Guards against a target that left and is in use again after its node restarted twice: the second
+/// process announced nothing of it.
+#[tokio::test]
+async fn a_restored_departure_is_announced_for_the_next_process() {
+    let restarted = unknown_target();
+    restarted.restore(&departed_target());
+    let (_, announced) = restarted.subscribe().borrow().clone();
+    assert_eq!(announced, Some(departed_target()));
+}
+
+/// Guards against a target that left and is in use again after its node restarted: no change of the
+/// presence showed the departure while the node was shutting down.
+#[tokio::test]
+async fn a_departure_during_the_shutdown_of_the_node_is_announced() {
+    let runner = unknown_target();
+    runner.apply_heartbeat(beat(1_000, 2));
+    runner.drain();
+    runner.apply_departure("t1", Some(1_000));
+    let (_, announced) = runner.subscribe().borrow().clone();
+    assert_eq!(announced, Some(departed_target()));
+}
+
+/// The same for a target that drains: its late heartbeats say that it is ready.
+#[tokio::test]
+async fn the_heartbeat_with_which_a_target_drains_is_announced_during_the_shutdown_of_the_node() {
+    let runner = unknown_target();
+    runner.apply_heartbeat(beat(1_000, 2));
+    runner.drain();
+    runner.apply_heartbeat(Heartbeat {
+        phase: Phase::Draining,
+        ..beat(1_000, 7)
+    });
+    let (_, announced) = runner.subscribe().borrow().clone();
+    assert_eq!(announced.map(|target| target.sequence), Some(7));
+}
+
+/// Guards against a target that left and is in use again: its departure came before the node had
+/// learned of the target, and was not announced.
+#[tokio::test]
+async fn a_departure_of_a_target_that_the_node_does_not_know_is_announced() {
+    let runner = unknown_target();
+    runner.apply_departure("t1", Some(1_000));
+    let (_, announced) = runner.subscribe().borrow().clone();
+    let restarted = unknown_target();
+    restarted.restore(&announced.expect("the departed target is not announced"));
+    assert_eq!(restarted.apply_heartbeat(beat(1_000, 9)), Outcome::Stale);
+}
