Read the node's own row before the first write, and write under its revision

Cause: the first write of a restarted node could replace the row that shows a departure before it was read, and a write that the store performs late could replace a newer row. Change: a node reads its own row at its start, writes only under the revision that it last read or wrote, and reads the row again after a conflict. It always announces what it restored. The reversed order of two writes was not shown by a test before the change.

--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -34,8 +34,6 @@
     pub store_reachable: AtomicBool,
     /// Presence and target that the node's row in the store shows.
     stored: watch::Sender<(Presence, Option<Target>)>,
-    /// Whether entries were read from the store since the start.
-    entries_read: watch::Sender<bool>,
     own_entry: Mutex<Entry>,
     version_lag: Mutex<VersionLag>,
     neighbours: Mutex<Neighbours>,
@@ -59,7 +57,6 @@
             announcement_due: Notify::new(),
             store_reachable: AtomicBool::new(true),
             stored: watch::Sender::new((Presence::Down, None)),
-            entries_read: watch::Sender::new(false),
             own_entry: Mutex::new(own_entry.clone()),
             version_lag: Mutex::default(),
             neighbours: Mutex::default(),
@@ -122,16 +119,6 @@
             .await;
     }
 
-    /// Records that the entries were read from the store.
-    pub(crate) fn record_entries_read(&self) {
-        self.entries_read.send_replace(true);
-    }
-
-    /// Waits until the entries were read from the store.
-    pub(crate) async fn wait_until_entries_read(&self) {
-        let _ = self.entries_read.subscribe().wait_for(|read| *read).await;
-    }
-
     /// Handles an entry of this node that came from elsewhere. One of an earlier process shows
     /// which heartbeats of the target are outdated.
     fn reconcile_own(&self, entry: &Entry) {
--- a/src/sidecar/tasks.rs
+++ b/src/sidecar/tasks.rs
@@ -8,7 +8,7 @@
 
 use tokio::sync::watch;
 
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::link::Entry;
 use crate::sidecar::hub::Hub;
 use crate::sidecar::watcher::{PING_PERIOD, SWEEP_PERIOD};
@@ -54,9 +54,6 @@
 /// Longest pause after a failed read by a node of any rank; shorter than the time in which entries
 /// have to be up to date again after an outage.
 const MAX_READ_RETRY_PAUSE: Duration = Duration::from_millis(1_600);
-/// Longest wait for the first read of the entries before the node's own entry is written. It is not
-/// read from the store if another node became the watcher meanwhile.
-const FIRST_READ_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval at which other nodes are queried while the store is unreachable, the first version is
 /// overdue or some node has a higher version; with a random jitter of up to 25 %.
 const QUERY_PERIOD: Duration = Duration::from_millis(400);
@@ -101,7 +98,7 @@
             }
             Err(error) => {
                 record_store_state(&hub, Some(&error));
-                tokio::time::sleep(pause.mul_f64(0.75 + 0.5 * rand::random::<f64>())).await;
+                tokio::time::sleep(jittered(pause)).await;
                 pause = (pause * 2).min(max_pause(hub.rank()));
             }
         }
@@ -192,7 +189,6 @@
         hub.apply_entries(entries.clone());
         hub.relay_entries(entries);
     }
-    hub.record_entries_read();
 }
 
 /// Removes the node of a deleted row; returns the entry of a valid written row.
@@ -248,46 +244,99 @@
     format!("{NODE_TABLE}/{node}")
 }
 
-/// Writes the node's own entry whenever it has changed, or its row in the store was deleted or
-/// replaced by an older one. Begins after the row of an earlier process was read, because the first
-/// write replaces it. Ends when `stopped` closes, but not while it retries a write.
+/// Reads the node's own row, which shows what an earlier process knew of the target, and then writes
+/// the own entry whenever it has changed, or its row in the store was deleted or replaced by an older
+/// one. Ends when `stopped` closes.
 pub(super) async fn announce(
     table: Arc<dyn Table>,
     hub: Arc<Hub>,
     mut stopped: watch::Receiver<()>,
 ) {
     let mut pause = MIN_RETRY_PAUSE;
-    let _ = tokio::time::timeout(FIRST_READ_TIMEOUT, hub.wait_until_entries_read()).await;
+    let mut revision = None;
+    let mut due = false;
     loop {
-        tokio::select! {
-            () = hub.announcement_due.notified() => {}
-            _ = stopped.changed() => return,
-        }
-        loop {
-            let entry = hub.own_entry();
-            let transaction = Transaction::default().put(&entry_key(&entry.node), &entry);
-            match table.transact(&transaction).await {
-                Ok(_) => {
-                    pause = MIN_RETRY_PAUSE;
-                    let is_current = hub.own_entry() == entry;
-                    hub.record_stored(entry);
-                    if is_current {
-                        break;
-                    }
+        match update_own_row(table.as_ref(), &hub, &mut revision, due).await {
+            Ok(is_current) => {
+                pause = MIN_RETRY_PAUSE;
+                if !is_current {
+                    continue;
                 }
-                Err(error) => {
-                    log::debug!(
-                        event = "announce_failed";
-                        "own entry not written; retrying: {error}"
-                    );
-                    tokio::time::sleep(pause.mul_f64(0.75 + 0.5 * rand::random::<f64>())).await;
-                    pause = (pause * 2).min(MAX_RETRY_PAUSE);
+                tokio::select! {
+                    () = hub.announcement_due.notified() => due = true,
+                    _ = stopped.changed() => return,
                 }
             }
+            Err(error) => {
+                log::debug!(
+                    event = "announce_failed";
+                    "own entry not read or written; retrying: {error}"
+                );
+                tokio::select! {
+                    () = tokio::time::sleep(jittered(pause)) => {}
+                    _ = stopped.changed() => return,
+                }
+                pause = (pause * 2).min(MAX_RETRY_PAUSE);
+            }
         }
     }
 }
 
+/// Reads the node's own row if its `revision` is unknown, and writes the own entry if that is due.
+/// Returns whether the row is up to date. The write requires the revision, so that a delayed earlier
+/// write cannot replace it.
+async fn update_own_row(
+    table: &dyn Table,
+    hub: &Hub,
+    revision: &mut Option<u64>,
+    due: bool,
+) -> Result<bool> {
+    let key = entry_key(&hub.own_entry().node);
+    let known_revision = match *revision {
+        Some(known) => known,
+        None => read_own_row(table, hub, &key).await?,
+    };
+    *revision = Some(known_revision);
+    if !due {
+        return Ok(true);
+    }
+    let entry = hub.own_entry();
+    let transaction = Transaction::default()
+        .require(&key, known_revision)
+        .put(&key, &entry);
+    match table.transact(&transaction).await {
+        Ok(written) => *revision = Some(written),
+        Err(Error::Conflict(_)) => {
+            log::info!(
+                event = "own_row_changed";
+                "own row in the store is not as last written; reading it again"
+            );
+            *revision = None;
+            return Ok(false);
+        }
+        Err(error) => return Err(error),
+    }
+    let is_current = hub.own_entry() == entry;
+    hub.record_stored(entry);
+    Ok(is_current)
+}
+
+/// Applies the node's own row; returns its revision, 0 if there is none.
+async fn read_own_row(table: &dyn Table, hub: &Hub, key: &str) -> Result<u64> {
+    let Some(row) = table.get(key).await? else {
+        return Ok(0);
+    };
+    let revision = row.revision;
+    let entry = apply_entry_change(hub, &Change::Written(row));
+    hub.apply_entries(entry.into_iter().collect());
+    Ok(revision)
+}
+
+/// A pause that is up to 25 % shorter or longer, at random.
+fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(0.75 + 0.5 * rand::random::<f64>())
+}
+
 /// Deletes the entry of another node from the store. Tries once; if it fails, a later sweep of the
 /// watcher tries again for a node that is unreachable, but not for one that was replaced.
 async fn withdraw(table: &dyn Table, node: &str) {
@@ -344,7 +393,7 @@
     let started = Instant::now();
     loop {
         tokio::select! {
-            () = tokio::time::sleep(QUERY_PERIOD.mul_f64(0.75 + 0.5 * rand::random::<f64>())) => {}
+            () = tokio::time::sleep(jittered(QUERY_PERIOD)) => {}
             _ = stopped.changed() => return,
         }
         let source_down = !hub.source_reachable();
--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -190,10 +190,15 @@
     node
 }
 
+/// The stored entry of the node `own`.
+fn stored_entry(store: &StoreServer) -> Option<Entry> {
+    let value = store.value(NODE_TABLE, "own")?;
+    Some(serde_json::from_str(&value).unwrap())
+}
+
 /// The target in the stored entry of the node `own`.
 fn stored_target(store: &StoreServer) -> Option<Target> {
-    let value = store.value(NODE_TABLE, "own")?;
-    serde_json::from_str::<Entry>(&value).unwrap().target
+    stored_entry(store)?.target
 }
 
 /// Delivers a heartbeat that the target of [`send_heartbeat`] sent later.
@@ -227,6 +232,21 @@
     assert!(stored_target(&store).is_some_and(|target| target.has_departed()));
 }
 
+/// Guards against a departure that an earlier write of the node, performed late by the store,
+/// replaces.
+#[tokio::test]
+async fn a_row_that_an_earlier_write_replaced_is_written_again() {
+    let store = store().await;
+    let target = ScriptedTarget::start(&[Action::Answer(GOOD)]).await;
+    let node = start_serving(&store, &target).await;
+    let earlier = store.value(NODE_TABLE, "own").unwrap();
+    node.runner.apply_departure("t-own", Some(1));
+    let departed = || stored_target(&store).is_some_and(|target| target.has_departed());
+    until("departure stored", departed).await;
+    store.put(NODE_TABLE, "own", &earlier);
+    until("departure stored again", departed).await;
+}
+
 /// Guards against the same after a kill: the departure was acknowledged before it was stored.
 #[tokio::test]
 async fn a_departure_is_stored_before_it_is_acknowledged() {
--- a/src/target/runner.rs
+++ b/src/target/runner.rs
@@ -137,14 +137,12 @@
     /// Restores what an earlier process of this node announced of the target, so that older
     /// heartbeats are ignored, also if they arrived before.
     pub(crate) fn restore(self: &Arc<Self>, target: &Target) {
-        let outdated = lock(&self.identity).restore(&target.id, target.started_ms, target.sequence);
+        lock(&self.identity).restore(&target.id, target.started_ms, target.sequence);
         let mut last_targets = lock(&self.last_targets);
         let restored = last_targets.restored.take();
         last_targets.restored = newest([restored, Some(target.clone())]);
         drop(last_targets);
-        if outdated || target.has_departed() {
-            self.update_presence(false);
-        }
+        self.update_presence(false);
     }
 
     /// Whether a target is known that has not departed.
--- a/src/target/tests/identity.rs
+++ b/src/target/tests/identity.rs
@@ -39,9 +39,7 @@
             Beat(id, started_ms, sequence, phase) => {
                 identity.apply(heartbeat(id, started_ms, sequence, phase));
             }
-            Restore(id, started_ms, sequence) => {
-                identity.restore(id, started_ms, sequence);
-            }
+            Restore(id, started_ms, sequence) => identity.restore(id, started_ms, sequence),
             Departure(id, started_ms) => {
                 // Each departure notice arrives 50 ms after `START_MS`.
                 identity.apply_departure(id, started_ms, START_MS + 50);
