Keep 'may have run' for a second inquiry about an evicted offer

Cause: the first inquiry about an offer that may have been evicted revoked its id, so a second one, after a further reconnection, was told that the offer had not run. Change: such an offer is remembered as finished without a known outcome. Evidence: an_inquiry_about_an_offer_evicted_early_says_may_have_run now inquires twice.

--- a/src/link/jobs.rs
+++ b/src/link/jobs.rs
@@ -122,23 +122,25 @@
     pub(super) fn inquire(&self, offer_id: OfferId, status: Status, inquirer: Sender) {
         let mut table = self.lock();
         table.evict_expired();
+        let may_have_forgotten = table.may_have_forgotten();
         let reply = match table.states.get_mut(&offer_id) {
             Some(State::Running { reply_to, .. }) => {
                 *reply_to = inquirer;
                 return;
             }
-            Some(State::Done { reply, .. }) => reply.as_deref().cloned(),
-            Some(State::Revoked) => Some(Reply::Refused(Refusal::not_run(Reason::ConnectionLost))),
+            Some(State::Done { reply, .. }) => reply.as_deref().cloned().unwrap_or_else(lost),
+            Some(State::Revoked) => not_run(),
+            None if may_have_forgotten => {
+                table.remember_finished(offer_id, Instant::now(), &lost());
+                lost()
+            }
             None => {
                 table.revoke(offer_id);
-                let not_run = Reply::Refused(Refusal::not_run(Reason::ConnectionLost));
-                (!table.may_have_forgotten()).then_some(not_run)
+                not_run()
             }
         };
         drop(table);
-        let lost = || Reply::Refused(Refusal::may_have_run(Reason::ConnectionLost));
-        let reply = Box::new(reply.unwrap_or_else(lost));
-        inquirer.send(Frame::Reply(offer_id, status, reply));
+        inquirer.send(Frame::Reply(offer_id, status, Box::new(reply)));
     }
 
     /// Cancels an offer whose outcome is no longer awaited. One that has not arrived yet is
@@ -236,6 +238,14 @@
     }
 }
 
+fn lost() -> Reply {
+    Reply::Refused(Refusal::may_have_run(Reason::ConnectionLost))
+}
+
+fn not_run() -> Reply {
+    Reply::Refused(Refusal::not_run(Reason::ConnectionLost))
+}
+
 impl Reply {
     /// Size in bytes of the answer, if there is one.
     fn size(&self) -> usize {
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -386,11 +386,13 @@
         assert_eq!(start(&jobs, offer_id, &unread), Arrival::Run);
         jobs.finish(offer_id, Status::default(), answer.clone());
     }
-    jobs.inquire(0, Status::default(), sender);
-    let Frame::Reply(0, _, reply) = receiver.next().await.unwrap() else {
-        panic!("no reply to the inquiry");
-    };
-    assert_eq!(verdict(&reply), LOST);
+    for _ in 0..2 {
+        jobs.inquire(0, Status::default(), sender.clone());
+        let Frame::Reply(0, _, reply) = receiver.next().await.unwrap() else {
+            panic!("no reply to the inquiry");
+        };
+        assert_eq!(verdict(&reply), LOST);
+    }
 }
 
 /// Guards against "not run" for a request that runs: a second copy of its offer was refused so.
