Refuse an offer that a link cannot queue

Callers waited for their deadlines: an offer that exceeded the write queue of a link was dropped, but kept as sent. Change: it is refused at once as not run, which is true as nothing was sent, and tried elsewhere. Evidence: an_offer_that_exceeds_the_write_queue_is_refused_at_once got no reply within 1 s before, and the refusal now.

--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -390,8 +390,14 @@
                     sent_at: SystemTime::now(),
                     remembered_for: offer.time_left.max(MIN_RETENTION),
                 };
-                self.pending.insert(offer.id, pending);
-                session.sender.send(Frame::Offer(offer));
+                let offer_id = offer.id;
+                if !session.sender.send(Frame::Offer(offer)) {
+                    // The connection has closed or its queue is full, so nothing was sent.
+                    let refused = Refusal::not_run(Reason::Unreachable);
+                    let _ = pending.reply.send(Reply::Refused(refused));
+                    return;
+                }
+                self.pending.insert(offer_id, pending);
                 if session.last_received.elapsed() > PING_IDLE_TIME {
                     session.ping();
                 }
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -472,3 +472,35 @@
     until("reachable", || !link.is_unreachable()).await;
     assert_eq!(verdict(&link.offer(offer(false)).reply().await), None);
 }
+
+/// Guards against requests that wait for their deadline although they were never sent, because the
+/// peer reads too slowly.
+#[tokio::test]
+async fn an_offer_that_exceeds_the_write_queue_is_refused_at_once() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let peer = Node::new("n", 1, Duration::ZERO);
+    tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        let (sender, mut receiver) = session::start(stream).unwrap();
+        sender.send(Frame::Hello(Box::new(peer.hello())));
+        receiver.next().await.unwrap();
+        // Reads nothing more.
+        std::future::pending::<()>().await;
+    });
+    let link = Link::new(address, caller());
+    let mut request = testing::request(hyper::Method::GET, "/a", "1");
+    request.body = vec![0; 4096].into();
+    let large = Offer {
+        message: (&request).into(),
+        ..offer(false)
+    };
+    let offers = (0..8_000).map(|id| Offer {
+        id,
+        ..large.clone()
+    });
+    let mut handles: Vec<_> = offers.map(|offer| link.offer(offer)).collect();
+    let last = handles.last_mut().unwrap();
+    let reply = tokio::time::timeout(Duration::from_secs(1), last.reply()).await;
+    assert_eq!(verdict(&reply.unwrap()), UNREACHABLE);
+}
