Don't tell a forgotten request of the product's mesh as not run

Change: the inquiry names the process; requests of another process, of that age or that may have been dropped early count as ended. Evidence: a_request_whose_phase_was_dropped_early_counts_as_ended and an_inquiry_about_a_request_to_an_earlier_process_says_that_it_ended failed before. An answer that breaks off in its head was already reported as lost; it has a test now.

--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -12,7 +12,7 @@
 use crate::proxy::Proxy;
 use crate::proxy::call::Call;
 use crate::proxy::headers;
-use crate::proxy::requests::{Phase, REQUEST_PATH};
+use crate::proxy::requests::{Phase, REQUEST_PATH, RETENTION};
 use crate::roster::Crash;
 use crate::route::{Endpoint, InFlight, Outcome};
 use crate::verdict::{Reason, Refusal, Verdict};
@@ -171,14 +171,15 @@
         tokio::select! {
             answer = &mut answer => return handle_answer(proxy, call, &endpoint, in_flight, answer),
             () = sleep_until(deadline) => {
+                let age = in_flight.elapsed();
                 in_flight.end(Outcome::Failed);
-                return Err(refuse_at_deadline(&endpoint, id).await);
+                return Err(refuse_at_deadline(&endpoint, id, age).await);
             }
             () = sleep(inquiry_delay) => {}
         }
         endpoint.record_unanswered(call.route.kind, in_flight.elapsed());
         proxy.counters.count("inquiries");
-        let phase = inquire(&endpoint, id).await;
+        let phase = inquire(&endpoint, id, in_flight.elapsed()).await;
         let failure = match phase {
             Some(Phase::Running) => None,
             Some(Phase::Cancelled) => Some(Refusal::not_run(Reason::ConnectionLost)),
@@ -205,17 +206,18 @@
 
 /// Refusal at the deadline. The inquiry cancels a request that has not arrived, which proves that
 /// it did not run and will not.
-async fn refuse_at_deadline(endpoint: &Endpoint, id: u64) -> Refusal {
-    match inquire(endpoint, id).await {
+async fn refuse_at_deadline(endpoint: &Endpoint, id: u64, age: Duration) -> Refusal {
+    match inquire(endpoint, id, age).await {
         Some(Phase::Cancelled) => Refusal::not_run(Reason::Deadline),
         _ => Refusal::may_have_run(Reason::Deadline),
     }
 }
 
 /// Inquires about a request at the target's node, over a new connection; `None` if there is no
-/// answer.
-async fn inquire(endpoint: &Endpoint, id: u64) -> Option<Phase> {
-    let request = Request::post(format!("{REQUEST_PATH}{id}"));
+/// answer. The node may have forgotten a request of this `age`, which then counts as ended.
+async fn inquire(endpoint: &Endpoint, id: u64, age: Duration) -> Option<Phase> {
+    let incarnation = endpoint.member.incarnation;
+    let request = Request::post(format!("{REQUEST_PATH}{id}?incarnation={incarnation}"));
     let request = request.header("host", "peer").body(empty()).ok()?;
     let inquiry = async {
         let pool = Pool::new(endpoint.member.mesh);
@@ -225,7 +227,12 @@
             .ok()?;
         std::str::from_utf8(&bytes).ok()?.parse().ok()
     };
-    timeout(INQUIRY_TIMEOUT, inquiry).await.ok().flatten()
+    let phase = timeout(INQUIRY_TIMEOUT, inquiry).await.ok().flatten();
+    let may_be_forgotten = age + INQUIRY_TIMEOUT >= RETENTION;
+    match phase {
+        Some(Phase::Cancelled) if may_be_forgotten => Some(Phase::Done),
+        phase => phase,
+    }
 }
 
 fn build_request(proxy: &Proxy, call: &Call, id: u64) -> Request<Body> {
--- a/src/proxy/mesh.rs
+++ b/src/proxy/mesh.rs
@@ -10,7 +10,7 @@
 use crate::http::{Body, Handler, full, read_whole};
 use crate::proxy::Proxy;
 use crate::proxy::headers::{self, Envelope};
-use crate::proxy::requests::REQUEST_PATH;
+use crate::proxy::requests::{Phase, REQUEST_PATH};
 use crate::rollout::{BUNDLE_PATH, serve_bundle};
 use crate::verdict::{Reason, Refusal, Verdict};
 
@@ -27,7 +27,7 @@
             return serve_bundle(&self.proxy.bundles, &self.proxy.traffic, &request).await;
         }
         if let Some(id) = path.strip_prefix(REQUEST_PATH) {
-            return self.inquire(id);
+            return self.inquire(id, request.uri().query());
         }
         let mut response = self.serve(request).await.unwrap_or_else(|refusal| {
             self.proxy.counters.count("mesh_refusals");
@@ -41,12 +41,21 @@
 }
 
 impl MeshHandler {
-    /// Answers an inquiry about a request; one that has not arrived is cancelled.
-    fn inquire(&self, id: &str) -> Response<Body> {
-        match id.parse() {
-            Ok(id) => Response::new(full(self.proxy.requests.inquire_or_cancel(id).to_string())),
-            Err(_) => headers::refusal_response(&Refusal::not_run(Reason::BadRequest)),
-        }
+    /// Answers an inquiry about a request; one that has not arrived is cancelled. Nothing is known
+    /// about requests to an earlier process of this node, so those count as ended.
+    fn inquire(&self, id: &str, query: Option<&str>) -> Response<Body> {
+        let Ok(id) = id.parse() else {
+            return headers::refusal_response(&Refusal::not_run(Reason::BadRequest));
+        };
+        let asked = query.and_then(|query| query.strip_prefix("incarnation="));
+        let own = self.proxy.membership.member();
+        let own = own.map(|member| member.incarnation.to_string());
+        let phase = if asked.is_none() || asked == own.as_deref() {
+            self.proxy.requests.inquire_or_cancel(id)
+        } else {
+            Phase::Done
+        };
+        Response::new(full(phase.to_string()))
     }
 
     /// Response for a refusal, with the crash number if the connection to the target broke after
--- a/src/proxy/requests.rs
+++ b/src/proxy/requests.rs
@@ -8,7 +8,7 @@
 
 const STRIPES: usize = 16;
 /// Time for which phases are kept; those of running requests are renewed after it.
-const RETENTION: Duration = Duration::from_secs(30);
+pub(super) const RETENTION: Duration = Duration::from_secs(30);
 /// Bound on the memory for phases; the oldest ended ones beyond it are dropped early.
 const MAX_RETAINED_PER_STRIPE: usize = 16_384;
 
@@ -35,6 +35,8 @@
     phases: HashMap<u64, Phase>,
     /// Times and ids of the insertions, oldest first.
     insertions: VecDeque<(Instant, u64)>,
+    /// Latest insertion of a phase that was dropped before [`RETENTION`] had passed.
+    dropped_early: Option<Instant>,
 }
 
 /// Phases of requests by id.
@@ -71,14 +73,20 @@
     }
 
     /// Returns the phase of a request. One that has not arrived is cancelled, so that it is refused
-    /// when it does.
+    /// when it does; one that may have been dropped early counts as ended. Says nothing about
+    /// requests that arrived more than [`RETENTION`] ago.
     pub(super) fn inquire_or_cancel(&self, id: u64) -> Phase {
         let mut stripe = self.stripe(id);
         if let Some(phase) = stripe.phases.get(&id) {
             return *phase;
         }
-        stripe.insert(id, Phase::Cancelled);
-        Phase::Cancelled
+        let phase = if stripe.may_have_dropped() {
+            Phase::Done
+        } else {
+            Phase::Cancelled
+        };
+        stripe.insert(id, phase);
+        phase
     }
 
     fn stripe(&self, id: u64) -> std::sync::MutexGuard<'_, Stripe> {
@@ -96,6 +104,11 @@
         self.insertions.push_back((Instant::now(), id));
     }
 
+    fn may_have_dropped(&self) -> bool {
+        self.dropped_early
+            .is_some_and(|inserted| inserted.elapsed() < RETENTION)
+    }
+
     /// Removes phases older than [`RETENTION`], and the oldest ones over the limit. Those of
     /// running requests are kept.
     fn evict_expired(&mut self) {
@@ -110,6 +123,9 @@
                 return;
             }
             self.phases.remove(&id);
+            if inserted.elapsed() < RETENTION {
+                self.dropped_early = Some(inserted);
+            }
         }
     }
 }
--- a/src/proxy/tests.rs
+++ b/src/proxy/tests.rs
@@ -111,6 +111,18 @@
     );
 }
 
+/// Guards against an answer that breaks off in its head and is taken for one without a body.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_breaks_off_in_its_head_may_have_run() {
+    let truncated = "HTTP/1.1 200 OK\r\nx-a: 1\r\n";
+    let answer = call(Script::Bytes(truncated), "/book").await;
+    assert_eq!(
+        (answer.is_success(), answer.verdict),
+        (false, Some(Verdict::MayHaveRun)),
+        "{answer:?}"
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn targets_503_is_forwarded_without_its_verdict_headers() {
     let forged_headers = "HTTP/1.1 503 Busy\r\ncontent-length: 4\r\n\
@@ -230,3 +242,37 @@
         "the same attempt was accepted twice"
     );
 }
+
+/// Guards against "not run" for a request that ran: a phase that was dropped because too many are
+/// kept was taken for one of a request that had not arrived.
+#[test]
+fn a_request_whose_phase_was_dropped_early_counts_as_ended() {
+    let requests = Requests::default();
+    // All ids are in one of 16 stripes.
+    for number in 0..17_000 {
+        drop(requests.begin(number * 16).unwrap());
+    }
+    for _ in 0..2 {
+        assert_eq!(requests.inquire_or_cancel(0), Phase::Done);
+    }
+}
+
+/// Guards against "not run" for a request that an earlier process of the node ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_inquiry_about_a_request_to_an_earlier_process_says_that_it_ended() {
+    let any = "127.0.0.1:0".parse().unwrap();
+    let target = Target::start(any, TargetOptions::default()).unwrap();
+    let (_mesh, node) = start_one_node(target.address()).await;
+    let mesh = node.addresses().mesh;
+    let inquire = async |incarnation: &str| {
+        let mut stream = TcpStream::connect(mesh).await.unwrap();
+        let text = format!(
+            "POST /.bluebellgap/request/7?incarnation={incarnation} HTTP/1.1\r\nhost: peer\r\n\
+             connection: close\r\ncontent-length: 0\r\n\r\n"
+        );
+        stream.write_all(text.as_bytes()).await.unwrap();
+        crate::testing::read_to_end(&mut stream).await
+    };
+    let answer = inquire("1").await;
+    assert!(answer.ends_with("Done"), "{answer}");
+}
