Announce a removed node again under a higher incarnation

Change: a node that learns of its removal raises its incarnation, and doesn't remove itself. Evidence: a_removed_node_announces_itself_under_a_higher_incarnation failed before.

--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -134,19 +134,26 @@
     /// newer if it was written while the clock was ahead, by an earlier process of this node or by
     /// the node that had this address before.
     fn raise_incarnation_above(&self, conflicting: &Entry) {
+        if conflicting.is_newer_than(&self.own_entry()) {
+            self.supersede(conflicting.incarnation);
+        }
+    }
+
+    /// Raises the own incarnation if it is not above this one, and announces it.
+    fn supersede(&self, incarnation: u64) {
         let entry = {
             let mut own = lock(&self.own_entry);
-            if !conflicting.is_newer_than(&own) {
+            if own.incarnation > incarnation {
                 return;
             }
-            own.incarnation = conflicting.incarnation + 1;
+            own.incarnation = incarnation + 1;
             own.revision += 1;
             own.clone()
         };
         log::info!(
             event = "incarnation_raised",
             incarnation = entry.incarnation;
-            "own incarnation raised above a conflicting entry"
+            "own incarnation raised above a conflicting entry or a removed one"
         );
         self.directory.merge(vec![entry.clone()]);
         self.publish(entry);
@@ -304,9 +311,10 @@
 
     /// Removes a node whose row was deleted from the store, and notifies the neighbours.
     pub(crate) fn remove_node(&self, node: &str) {
-        if node == self.own_entry().node {
-            // The watcher found this node unreachable and deleted its row: write it again.
-            self.announcement_due.notify_one();
+        let own = self.own_entry();
+        if node == own.node {
+            // The watcher found this node unreachable and deleted its row.
+            self.supersede(own.incarnation);
             return;
         }
         let Some(known) = self.directory.find(node) else {
@@ -402,8 +410,13 @@
         for fingerprint in &update.cleared {
             self.suspicions.clear(*fingerprint);
         }
+        let own_node = self.own_entry().node;
         for (node, incarnation) in &update.removed {
-            self.directory.forget(node, *incarnation);
+            if *node == own_node {
+                self.supersede(*incarnation);
+            } else {
+                self.directory.forget(node, *incarnation);
+            }
         }
         self.apply_entries(update.entries);
     }
--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -10,7 +10,7 @@
 use crate::dialect::{Heartbeat, Phase};
 use crate::forward::Limits;
 use crate::http::Server;
-use crate::link::{Entry, Target};
+use crate::link::{Entry, Handler as _, Target, Update};
 use crate::platform::{self, sample};
 use crate::sidecar::tasks::NODE_TABLE;
 use crate::sidecar::{Listen, Settings, Shutdown, Sidecar, heartbeat as heartbeat_listener};
@@ -232,6 +232,27 @@
     assert!(stored_target(&store).is_some_and(|target| target.has_departed()));
 }
 
+/// Guards against a process that all others ignore while it runs: they had taken the deletion of its
+/// row, which an earlier process had written, for its own end.
+#[tokio::test]
+async fn a_removed_node_announces_itself_under_a_higher_incarnation() {
+    let store = store().await;
+    let target = ScriptedTarget::start(&[Action::Answer(GOOD)]).await;
+    let node = start_serving(&store, &target).await;
+    let removed = node.hub.own_entry().incarnation;
+    node.hub.apply_update(Update {
+        removed: vec![("own".into(), removed)],
+        ..Update::default()
+    });
+    assert!(node.hub.own_entry().incarnation > removed);
+    let known = node.hub.directory.find("own").expect("own entry removed");
+    assert!(known.entry.incarnation > removed);
+    until("row shows the higher incarnation", || {
+        stored_entry(&store).is_some_and(|entry| entry.incarnation > removed)
+    })
+    .await;
+}
+
 /// Guards against a departure that an earlier write of the node, performed late by the store,
 /// replaces.
 #[tokio::test]
