Refuse requests after the end of the drain as not run

Callers got 502, which promises nothing, for requests that a stopping node had not passed on. Cause: after the end of the drain, the refusal (503) and the answer at its end (502) were ready at the same time, and one of them was taken at random. Change: the refusal goes first. Evidence: a_request_after_the_end_of_the_drain_is_refused_as_not_run got 502 before. The users' reports on late requests of a planned stop and on answers that break off in their head are replayed by every_request_that_a_stopping_node_passes_on_gets_its_answer and the prefix tests of src/h1, which passed before.

--- a/src/forward/forwarder.rs
+++ b/src/forward/forwarder.rs
@@ -96,6 +96,8 @@
         self.counters.count("requests");
         let _unanswered_token = self.unanswered_requests.token();
         let answer = tokio::select! {
+            // First, so that a request which is refused at once is not answered as one that may run.
+            biased;
             answer = self.serve(&request, &request_id) => answer,
             () = self.wait_for_drain_end() => Err(Refusal::may_have_run(Reason::Stopping)),
         };
--- a/src/forward/tests/forwarder.rs
+++ b/src/forward/tests/forwarder.rs
@@ -214,3 +214,15 @@
     assert_eq!(running.await.unwrap().status.as_u16(), 502);
     fixture.forwarder.wait_until_idle().await;
 }
+
+/// Guards against "may have run" for requests that arrive after the drain and are not passed on.
+#[tokio::test]
+async fn a_request_after_the_end_of_the_drain_is_refused_as_not_run() {
+    let fixture = fixture(&[Action::Answer(GOOD)]).await;
+    fixture.forwarder.drain_until(Instant::now());
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    for _ in 0..50 {
+        assert_eq!(send(&fixture, "/once/a").await.status.as_u16(), 503);
+    }
+    assert_eq!(fixture.target.requests(), 0);
+}
--- a/src/h1/tests.rs
+++ b/src/h1/tests.rs
@@ -134,3 +134,43 @@
     assert!(stream.read_response(&Method::GET, 1024).await.is_ok());
     assert_eq!(allowance.left(), RESPONSE.len() * 3 / 2);
 }
+
+macro_rules! prefix_tests {
+    ($($name:ident: $response:expr,)*) => {
+        /// Guards against an answer that breaks off and looks complete: the end of the connection was
+        /// taken for the end of the message.
+        $(#[tokio::test]
+        async fn $name() {
+            let whole: &[u8] = $response;
+            assert!(response(whole).await.is_ok());
+            for length in 0..whole.len() {
+                let outcome = response(&whole[..length]).await;
+                assert!(matches!(outcome, Err(Fault::CutOff(_))), "{length}: {outcome:?}");
+            }
+        })*
+    };
+}
+
+prefix_tests! {
+    no_prefix_of_a_response_with_a_length_is_complete:
+        b"HTTP/1.1 200 OK\r\nx-a: 1\r\ncontent-length: 12\r\nx-b: 2\r\n\r\n123456789012",
+    no_prefix_of_a_response_in_chunks_is_complete:
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2;x=y\r\nok\r\n0\r\nt: 1\r\n\r\n",
+    no_prefix_of_an_interim_response_is_complete:
+        b"HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+    no_prefix_of_a_response_with_bare_line_feeds_is_complete:
+        b"HTTP/1.1 200 OK\ncontent-length: 2\n\nok",
+}
+
+/// A response without a length is complete once its connection ends, but not before its head is.
+#[tokio::test]
+async fn no_prefix_of_a_head_without_a_length_is_complete() {
+    let head = b"HTTP/1.1 200 OK\r\nx-a: 1\r\n\r\n";
+    for length in 0..head.len() {
+        let outcome = response(&head[..length]).await;
+        assert!(
+            matches!(outcome, Err(Fault::CutOff(_))),
+            "{length}: {outcome:?}"
+        );
+    }
+}
--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -4,11 +4,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use hyper::Method;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 use crate::dialect::{Heartbeat, Phase};
 use crate::forward::Limits;
+use crate::h1;
 use crate::http::Server;
 use crate::link::{Entry, Handler as _, Target, Update};
 use crate::platform::{self, sample};
@@ -182,6 +184,70 @@
     assert_eq!(target.requests(), 1);
 }
 
+/// Sends requests on one connection, each when the last one is answered, until the node closes it.
+/// Returns the statuses of the answers.
+async fn send_until_closed(address: SocketAddr) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    let Ok(stream) = TcpStream::connect(address).await else {
+        return statuses;
+    };
+    let (reader, mut writer) = stream.into_split();
+    let mut reader = h1::Stream::new(reader);
+    loop {
+        let id = format!("{:x}", rand::random::<u64>());
+        let headers = sample::caller_headers(&id, 900);
+        let text = format!("GET /once/a HTTP/1.1\r\nhost: {HOST}\r\n{headers}\r\n");
+        if writer.write_all(text.as_bytes()).await.is_err() {
+            return statuses;
+        }
+        match reader.read_response(&Method::GET, 1024).await {
+            Ok(response) => statuses.push(response.status.as_u16()),
+            Err(_) => return statuses,
+        }
+    }
+}
+
+/// Guards against requests that a stopping node passes on late in its grace time and cuts off at the
+/// end: callers keep using open connections, and open new ones, until the process is gone.
+#[tokio::test]
+async fn every_request_that_a_stopping_node_passes_on_gets_its_answer() {
+    let store = store().await;
+    let delayed = Action::AnswerAfter(Duration::from_millis(300), GOOD);
+    let target = ScriptedTarget::start(&[delayed]).await;
+    let other = Sidecar::start(settings("other", &store, target.address)).unwrap();
+    send_heartbeat(&other);
+    let node = Sidecar::start(settings("own", &store, target.address)).unwrap();
+    until("the node knows the target", || {
+        let found = node.hub.directory.find("other");
+        node.version() == 1 && found.is_some_and(|other| other.is_serving())
+    })
+    .await;
+    let address = node.caller_address();
+    let callers = (0..6).map(|_| {
+        tokio::spawn(async move {
+            let mut statuses = Vec::new();
+            loop {
+                let answered = send_until_closed(address).await;
+                if answered.is_empty() && TcpStream::connect(address).await.is_err() {
+                    return statuses;
+                }
+                statuses.extend(answered);
+            }
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    until("requests at the target", || target.requests() >= 4).await;
+    node.leave().await;
+    let mut answered = 0;
+    for caller in callers {
+        for status in caller.await.unwrap() {
+            assert!(matches!(status, 200 | 503), "{status}");
+            answered += u32::from(status == 200);
+        }
+    }
+    assert_eq!(target.requests(), answered);
+}
+
 /// Starts the node `own` with a target, and waits until its row in the store shows the target.
 async fn start_serving(store: &StoreServer, target: &ScriptedTarget) -> Sidecar {
     let node = Sidecar::start(settings("own", store, target.address)).unwrap();
