Tell newly connected nodes which requests crash targets

Cause: suspicions lived in the memory of a process only. Change: after the hellos, each side sends the crashes behind its active suspicions. Evidence: a_restarted_node_learns_which_requests_crash_targets; without the message it fails after 5 s.

--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -12,7 +12,7 @@
 
 use crate::link::frame::{Entry, Frame, Offer, OfferId, PackedVersion, Reply, Update};
 use crate::link::jobs::MIN_RETENTION;
-use crate::link::server::{Handler, handle_common_frame, handle_status};
+use crate::link::server::{Handler, handle_common_frame, handle_status, send_introduction};
 use crate::link::session::{self, Receiver, Sender};
 use crate::verdict::{Reason, Refusal, Verdict};
 
@@ -316,6 +316,7 @@
         };
         self.handler.apply_update(update);
         handle_status(self.handler.as_ref(), &hello.entry, hello.status, &sender);
+        send_introduction(self.handler.as_ref(), &sender);
         Ok(Session {
             sender,
             receiver,
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -52,6 +52,11 @@
     /// All entries that this node knows, as an update.
     fn roster(&self) -> Update;
 
+    /// What a peer that may have just started has to learn from this node, if there is anything.
+    fn introduction(&self) -> Option<Update> {
+        None
+    }
+
     /// The version in force, if it is higher than `version`, the one that the requesting peer has.
     fn version_above(&self, version: u64) -> Option<PackedVersion>;
 
@@ -97,6 +102,13 @@
     }
 }
 
+/// Tells a newly connected peer what its process may not know.
+pub(super) fn send_introduction(handler: &dyn Handler, sender: &Sender) {
+    if let Some(update) = handler.introduction() {
+        sender.send(Frame::Update(Box::new(update)));
+    }
+}
+
 /// Accepts connections of other nodes' links until `stopped` closes.
 pub(crate) async fn listen(
     listener: TcpListener,
@@ -143,6 +155,7 @@
         ..Update::default()
     });
     handle_status(handler.as_ref(), &peer, hello.status, &sender);
+    send_introduction(handler.as_ref(), &sender);
     let error = loop {
         let frame = match receiver.next().await {
             Ok(frame) => frame,
--- a/src/roster/suspicion.rs
+++ b/src/roster/suspicion.rs
@@ -4,7 +4,7 @@
 //! refused on all nodes until the suspicion expires. A request that completes on any node clears
 //! its fingerprint, so that common requests that merely ran alongside a crashing one stay allowed.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -16,6 +16,8 @@
 /// Time for which a completed request's fingerprint is left out of crash reports.
 const COMPLETION_TERM: Duration = Duration::from_secs(30);
 const MAX_FINGERPRINTS: usize = 65_536;
+/// Limit on the crashes that a node reports to a process that may have just started.
+const MAX_REPORTED_CRASHES: usize = 64;
 
 /// A crash of a target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -89,6 +91,26 @@
         }
     }
 
+    /// The crashes behind the active suspicions, for a process that may not know them.
+    pub(crate) fn crashes(&self) -> Vec<Crash> {
+        let state = self.lock();
+        let mut fingerprints: BTreeMap<&(String, u64, u64), Vec<u64>> = BTreeMap::new();
+        for (fingerprint, suspect) in &state.suspects {
+            for crash_id in suspect.crashes.iter().filter(|_| suspect.is_active()) {
+                fingerprints.entry(crash_id).or_default().push(*fingerprint);
+            }
+        }
+        let crashes = fingerprints.into_iter().take(MAX_REPORTED_CRASHES);
+        crashes
+            .map(|((node, incarnation, number), fingerprints)| Crash {
+                node: node.clone(),
+                number: *number,
+                incarnation: *incarnation,
+                fingerprints,
+            })
+            .collect()
+    }
+
     /// Clears the suspicion of a fingerprint that completed on another node.
     pub(crate) fn clear(&self, fingerprint: u64) {
         self.lock().suspects.remove(&fingerprint);
--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -428,6 +428,14 @@
         }
     }
 
+    fn introduction(&self) -> Option<Update> {
+        let crashes = self.suspicions.crashes();
+        (!crashes.is_empty()).then(|| Update {
+            crashes,
+            ..Update::default()
+        })
+    }
+
     fn version_above(&self, version: u64) -> Option<PackedVersion> {
         match self.versions.pack_above(version) {
             Ok(packed) => packed,
--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -14,6 +14,7 @@
 use crate::http::Server;
 use crate::link::{Entry, Handler as _, Target, Update};
 use crate::platform::{self, sample};
+use crate::roster::Crash;
 use crate::sidecar::tasks::NODE_TABLE;
 use crate::sidecar::{Listen, Settings, Shutdown, Sidecar, heartbeat as heartbeat_listener};
 use crate::standin::{StoreFault, StoreServer};
@@ -319,6 +320,29 @@
     .await;
 }
 
+/// Guards against requests that crash targets and are let through again by each process that starts
+/// after the crashes.
+#[tokio::test]
+async fn a_restarted_node_learns_which_requests_crash_targets() {
+    let store = store().await;
+    let target = ScriptedTarget::start(&[Action::Answer(GOOD)]).await;
+    let other = Sidecar::start(settings("other", &store, target.address)).unwrap();
+    send_heartbeat(&other);
+    for number in 1..=2 {
+        other.hub.report_crash(Crash {
+            node: "other".into(),
+            number,
+            incarnation: 1,
+            fingerprints: vec![7],
+        });
+    }
+    let row_of_other = || store.value(NODE_TABLE, "other").is_some();
+    until("entry of the other node written", row_of_other).await;
+    let restarted = Sidecar::start(settings("own", &store, target.address)).unwrap();
+    send_heartbeat(&restarted);
+    until("crashes known", || restarted.hub.suspicions.must_refuse(7)).await;
+}
+
 /// Guards against a departure that an earlier write of the node, performed late by the store,
 /// replaces.
 #[tokio::test]
