Let a request that arrives after its inquiry be sent to another target

Cause: a request that an inquiry had cancelled before it arrived was refused with the deadline as the reason, for which calls are not sent elsewhere. Change: the reason is the lost connection, as the inquiry itself reports it.

--- a/src/proxy/mesh.rs
+++ b/src/proxy/mesh.rs
@@ -79,7 +79,8 @@
         let envelope = Envelope::read(request.headers());
         let envelope = envelope.ok_or_else(|| Refusal::not_run(Reason::BadRequest))?;
         let guard = self.proxy.requests.begin(envelope.request);
-        let _guard = guard.ok_or_else(|| Refusal::not_run(Reason::Deadline))?;
+        // An inquiry found that it had not arrived yet; another target may still have time for it.
+        let _guard = guard.ok_or_else(|| Refusal::not_run(Reason::ConnectionLost))?;
         let target = self.proxy.target.as_ref();
         let target = target.filter(|target| target.group() == envelope.group);
         let target = target.ok_or_else(|| Refusal::not_run(Reason::NoTarget))?;
--- a/src/proxy/tests.rs
+++ b/src/proxy/tests.rs
@@ -8,12 +8,15 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::bundle::ClassKind;
+use crate::http::{Pool, empty, read_whole};
 use crate::node::Node;
+use crate::proxy::headers::{self, Envelope};
 use crate::proxy::requests::{Phase, Requests};
 use crate::roster::{ApplyOutcome, Member, Offer, Presence, View};
 use crate::settings::TargetSettings;
 use crate::standin::{Answer, Layout, Mesh, Target, TargetOptions, sample_bundle};
-use crate::verdict::Verdict;
+use crate::verdict::{Reason, Verdict};
 use crate::wire::{ControlClient as _, Pull};
 
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(15);
@@ -276,3 +279,44 @@
     let answer = inquire("1").await;
     assert!(answer.ends_with("Done"), "{answer}");
 }
+
+/// Guards against calls that fail with time left: a request that arrived after an inquiry about it was
+/// refused with a reason for which it is not sent to another target.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_arrives_after_its_inquiry_may_be_sent_to_another_target() {
+    let any = "127.0.0.1:0".parse().unwrap();
+    let target = Target::start(any, TargetOptions::default()).unwrap();
+    let (_mesh, node) = start_one_node(target.address()).await;
+    let pool = Pool::new(node.addresses().mesh);
+    let send = async |path: &str, envelope: Option<Envelope>| {
+        let mut request = hyper::Request::post(path).body(empty()).unwrap();
+        request
+            .headers_mut()
+            .insert("host", "peer".parse().unwrap());
+        if let Some(envelope) = envelope {
+            envelope.write(request.headers_mut());
+        }
+        let (head, body) = pool.send(request).await.unwrap().into_parts();
+        read_whole(body, 1024).await.unwrap();
+        headers::read_refusal(head.status, &head.headers)
+    };
+    assert!(send("/.bluebellgap/request/7", None).await.is_none());
+    let envelope = Envelope {
+        request: 7,
+        version: 1,
+        group: "depot".into(),
+        kind: ClassKind::Short,
+        tenant: "default".into(),
+        weight: 1,
+        reserved_short_percent: 0,
+        remaining: Duration::from_secs(2),
+        fingerprint: 1,
+        suspect: false,
+    };
+    let refusal = send("/book", Some(envelope)).await.unwrap();
+    assert_eq!(
+        (refusal.reason, refusal.verdict),
+        (Reason::ConnectionLost, Verdict::NotRun)
+    );
+    assert_eq!(target.served(), 0);
+}
