Send calls until one runs at the first target in two tests

The tests failed in their set-up, before what they check. Change: the set-up sends further rounds within the same time limit; all checks are as before.

--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -3,13 +3,16 @@
 mod common;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bluebellgap::standin::{Caller, Fault, Mesh, TargetOptions};
 use bluebellgap::verdict::Verdict;
 
 use common::{LIMIT, cases, layout, start, wait_until};
 
+/// Time after which a round of calls that left out a target is followed by another.
+const ROUND_TIME: Duration = Duration::from_millis(500);
+
 cases! {
     a_leaving_target_gets_no_new_requests => leaving_target();
     shutdown_completes_requests_in_flight => graceful_shutdown();
@@ -33,14 +36,14 @@
         ..TargetOptions::default()
     });
     let mut mesh = start(&layout).await;
-    let calls: Vec<_> = (0..12)
-        .map(|number| {
+    let mut calls = Vec::new();
+    send_until_first_target_runs(&mesh, || {
+        for number in 0..12 {
             let caller = mesh.caller(number % 3);
-            tokio::spawn(async move { caller.get(&format!("/batch/{number}?long")).await })
-        })
-        .collect();
-    wait_until("a long request runs", || {
-        mesh.targets[0].as_ref().unwrap().running() > 0
+            calls.push(tokio::spawn(async move {
+                caller.get(&format!("/batch/{number}?long")).await
+            }));
+        }
     })
     .await;
     let departure = tokio::spawn(mesh.nodes[0].take().unwrap().leave());
@@ -66,6 +69,22 @@
     }
 }
 
+/// Sends rounds of calls until one runs at the first target. A round may leave it out: targets are
+/// chosen at random, and nodes that saw its start after those of the others give it a slow start.
+async fn send_until_first_target_runs(mesh: &Mesh, mut send: impl FnMut()) {
+    let mut sent_at = None;
+    wait_until("requests run at the first target", || {
+        let running = mesh.targets[0].as_ref().unwrap().running() > 0;
+        let round_ended = sent_at.is_none_or(|at: Instant| at.elapsed() > ROUND_TIME);
+        if !running && round_ended {
+            sent_at = Some(Instant::now());
+            send();
+        }
+        running
+    })
+    .await;
+}
+
 async fn graceful_shutdown() {
     let mut layout = layout(1, 1, 3);
     layout.target = Some(TargetOptions {
@@ -73,15 +92,14 @@
         ..TargetOptions::default()
     });
     let mut mesh = start(&layout).await;
-    let callers: Vec<Caller> = (0..3).map(|index| mesh.caller(index)).collect();
-    let calls: Vec<_> = (0..30)
-        .map(|number| {
-            let caller = callers[number % 3].clone();
-            tokio::spawn(async move { caller.post("/book", &format!("k{number}"), "unit").await })
-        })
-        .collect();
-    wait_until("requests run", || {
-        mesh.targets[0].as_ref().unwrap().running() > 0
+    let mut calls = Vec::new();
+    send_until_first_target_runs(&mesh, || {
+        for number in calls.len()..calls.len() + 30 {
+            let caller = mesh.caller(number % 3);
+            calls.push(tokio::spawn(async move {
+                caller.post("/book", &format!("k{number}"), "unit").await
+            }));
+        }
     })
     .await;
     mesh.nodes[0].take().unwrap().leave().await;
