Don't let an announcement of another target outdate the known one

Cause: an entry under the node's own name was restored also when a target was known, so one of another writer with a later start outdated all heartbeats of that target. Change: a restored announcement counts only while no target is known, or for this target. Evidence: an_announcement_of_another_target_does_not_affect_the_current_one fails without the check.

--- a/src/target/identity.rs
+++ b/src/target/identity.rs
@@ -93,20 +93,29 @@
     /// Sets the target that an earlier process of the node announced. It does not become the current
     /// one, but its heartbeats up to `sequence`, and those of targets that started before it, count
     /// as stale. If the current target is this one, known from an earlier heartbeat, it is no longer
-    /// current. Has no effect if a newer announcement was restored.
-    pub(crate) fn restore(&mut self, id: &str, started_ms: u64, sequence: u64) {
+    /// current. Has no effect, and returns `false`, if another target is current or a newer
+    /// announcement was restored.
+    pub(crate) fn restore(&mut self, id: &str, started_ms: u64, sequence: u64) -> bool {
         let is_older =
             |known: &RestoredTarget| (started_ms, sequence) < (known.started_ms, known.sequence);
         if self.restored.as_ref().is_some_and(is_older) {
-            return;
+            return false;
         }
         let restored = RestoredTarget {
             id: id.to_owned(),
             started_ms,
             sequence,
         };
+        if self
+            .current
+            .as_ref()
+            .is_some_and(|current| !restored.is_same(current))
+        {
+            return false;
+        }
         self.current.take_if(|current| restored.replaces(current));
         self.restored = Some(restored);
+        true
     }
 
     /// Applies a heartbeat, unless it is [`Outcome::Stale`], for example because it was delayed.
--- a/src/target/runner.rs
+++ b/src/target/runner.rs
@@ -135,14 +135,12 @@
     }
 
     /// Restores what an earlier process of this node announced of the target, so that older
-    /// heartbeats are ignored, also if they arrived before.
+    /// heartbeats are ignored, also if they arrived before. Has no effect if another target is known.
     pub(crate) fn restore(self: &Arc<Self>, target: &Target) {
-        lock(&self.identity).restore(&target.id, target.started_ms, target.sequence);
-        let mut last_targets = lock(&self.last_targets);
-        let restored = last_targets.restored.take();
-        last_targets.restored = newest([restored, Some(target.clone())]);
-        drop(last_targets);
-        self.update_presence(false);
+        if lock(&self.identity).restore(&target.id, target.started_ms, target.sequence) {
+            lock(&self.last_targets).restored = Some(target.clone());
+            self.update_presence(false);
+        }
     }
 
     /// Whether a target is known that has not departed.
--- a/src/target/tests/identity.rs
+++ b/src/target/tests/identity.rs
@@ -39,7 +39,9 @@
             Beat(id, started_ms, sequence, phase) => {
                 identity.apply(heartbeat(id, started_ms, sequence, phase));
             }
-            Restore(id, started_ms, sequence) => identity.restore(id, started_ms, sequence),
+            Restore(id, started_ms, sequence) => {
+                identity.restore(id, started_ms, sequence);
+            }
             Departure(id, started_ms) => {
                 // Each departure notice arrives 50 ms after `START_MS`.
                 identity.apply_departure(id, started_ms, START_MS + 50);
@@ -95,6 +97,10 @@
     a_restored_departure_of_an_earlier_target_does_not_affect_the_new_one:
         [Beat("b", START_MS + 10, 1, Ready), Restore("a", START_MS, u64::MAX)]
             => Some(("b", Ready)),
+    // Another program may have written the announcement.
+    an_announcement_of_another_target_does_not_affect_the_current_one:
+        [Beat("a", START_MS, 1, Ready), Restore("b", u64::MAX, 1), Beat("a", START_MS, 2, Draining)]
+            => Some(("a", Draining)),
     an_older_announcement_does_not_replace_the_restored_one:
         [Restore("a", START_MS, u64::MAX), Restore("a", START_MS, 4), Beat("a", START_MS, 5, Ready)]
             => None,
