--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -368,7 +368,8 @@
     let _node = start_serving(&store, &target).await;
 }
 
-/// Guards against the same after a kill: the departure was acknowledged before it was stored.
+/// Guards against a target that left and is in use again after its node was killed: the departure was
+/// acknowledged before it was stored.
 #[tokio::test]
 async fn a_departure_is_stored_before_it_is_acknowledged() {
     let store = store().await;
