Tests: bound the refusal of an unqueued offer by its deadline

The peer of the test takes no second connection, so once the link has replaced the silent one, the refusal comes after two attempts to connect. Change: the bound is the deadline of the offer, which is what the fault made callers wait for. It is as strict: without the refusal there is no reply until then (run again: fails).

--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -495,12 +495,13 @@
         message: (&request).into(),
         ..offer(false)
     };
+    // Without a refusal, the offer has no reply when its deadline passes.
     let offers = (0..8_000).map(|id| Offer {
         id,
         ..large.clone()
     });
     let mut handles: Vec<_> = offers.map(|offer| link.offer(offer)).collect();
     let last = handles.last_mut().unwrap();
-    let reply = tokio::time::timeout(Duration::from_secs(1), last.reply()).await;
+    let reply = tokio::time::timeout(large.time_left, last.reply()).await;
     assert_eq!(verdict(&reply.unwrap()), UNREACHABLE);
 }
