--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -276,7 +276,7 @@
     });
 }
 
-/// Guards against an instance that left while its node was stopped and started again, and was in use
+/// Guards against a target that left while its node was stopped and started again, and was in use
 /// again after a late heartbeat: the stopping node deleted the row that shows the departure.
 #[tokio::test]
 async fn a_target_that_left_during_a_restart_of_its_node_is_not_used_again() {
