Reply to inquiries for every known offer, whatever the incarnation

Found by reading this change. Since a removed node raises its incarnation, and inquiries of the product's mesh name a process, a request that the asked process knew could be told as possibly run although its answer was there or about to be. Offer and request ids are random, so a known one was sent to this process. Change: both sides reply for what they know; only an unknown one of another incarnation may have run. A row that appears between a node's read and its first write is read before it is replaced. The row's case was not shown red.

--- a/src/link/jobs.rs
+++ b/src/link/jobs.rs
@@ -118,11 +118,18 @@
     }
 
     /// Replies to an inquiry about an offer, at once or when the offer finishes. An offer that has
-    /// not arrived is revoked, so that "not run" stays true.
-    pub(super) fn inquire(&self, offer_id: OfferId, status: Status, inquirer: Sender) {
+    /// not arrived is revoked, so that "not run" stays true. `same_process` says whether the offer was
+    /// certainly sent to this process; otherwise an earlier one may have run it.
+    pub(super) fn inquire(
+        &self,
+        offer_id: OfferId,
+        status: Status,
+        inquirer: Sender,
+        same_process: bool,
+    ) {
         let mut table = self.lock();
         table.evict_expired();
-        let may_have_forgotten = table.may_have_forgotten();
+        let may_have_run = !same_process || table.may_have_forgotten();
         let reply = match table.states.get_mut(&offer_id) {
             Some(State::Running { reply_to, .. }) => {
                 *reply_to = inquirer;
@@ -130,7 +137,7 @@
             }
             Some(State::Done { reply, .. }) => reply.as_deref().cloned().unwrap_or_else(lost),
             Some(State::Revoked) => not_run(),
-            None if may_have_forgotten => {
+            None if may_have_run => {
                 table.remember_finished(offer_id, Instant::now(), &lost());
                 lost()
             }
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -224,8 +224,8 @@
     }
 }
 
-/// Replies to an inquiry about an offer. Nothing is known about offers to an earlier process of
-/// this node, so those may have run.
+/// Replies to an inquiry about an offer that was sent to the process with this incarnation. A process
+/// may have raised its own meanwhile, so it replies for every offer that it knows.
 fn inquire(
     handler: &dyn Handler,
     jobs: &Jobs,
@@ -234,10 +234,6 @@
     inquirer: &Sender,
 ) {
     let hello = handler.hello();
-    if hello.entry.incarnation == incarnation {
-        jobs.inquire(offer_id, hello.status, inquirer.clone());
-        return;
-    }
-    let lost = Reply::Refused(Refusal::may_have_run(Reason::ConnectionLost));
-    inquirer.send(Frame::Reply(offer_id, hello.status, Box::new(lost)));
+    let same_process = hello.entry.incarnation == incarnation;
+    jobs.inquire(offer_id, hello.status, inquirer.clone(), same_process);
 }
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -387,7 +387,7 @@
         jobs.finish(offer_id, Status::default(), answer.clone());
     }
     for _ in 0..2 {
-        jobs.inquire(0, Status::default(), sender.clone());
+        jobs.inquire(0, Status::default(), sender.clone(), true);
         let Frame::Reply(0, _, reply) = receiver.next().await.unwrap() else {
             panic!("no reply to the inquiry");
         };
@@ -426,7 +426,7 @@
         answer.body = vec![0; 3 * 1024 * 1024].into();
         jobs.finish(offer_id, Status::default(), Reply::Answer((&answer).into()));
     }
-    jobs.inquire(0, Status::default(), sender);
+    jobs.inquire(0, Status::default(), sender, true);
     // The three answers, then the reply to the inquiry.
     let mut replies = Vec::new();
     while replies.len() < 4 {
@@ -505,3 +505,22 @@
     let reply = tokio::time::timeout(large.time_left, last.reply()).await;
     assert_eq!(verdict(&reply.unwrap()), UNREACHABLE);
 }
+
+/// Guards against answers that are lost because their node has raised its incarnation.
+#[tokio::test]
+async fn an_inquiry_under_an_earlier_incarnation_gets_the_answer_of_a_known_offer() {
+    let node = Node::new("n", 2, Duration::from_millis(100));
+    let (address, _running) = serve(&node).await;
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (sender, mut receiver) = session::start(stream).unwrap();
+    let offer = offer(false);
+    sender.send(Frame::Hello(Box::new(caller().hello())));
+    sender.send(Frame::Offer(Box::new(offer.clone())));
+    sender.send(Frame::Inquire(offer.id, 1));
+    let reply = loop {
+        if let Frame::Reply(_, _, reply) = receiver.next().await.unwrap() {
+            break reply;
+        }
+    };
+    assert_eq!((verdict(&reply), node.started()), (None, 1));
+}
--- a/src/proxy/mesh.rs
+++ b/src/proxy/mesh.rs
@@ -41,8 +41,8 @@
 }
 
 impl MeshHandler {
-    /// Answers an inquiry about a request; one that has not arrived is cancelled. Nothing is known
-    /// about requests to an earlier process of this node, so those count as ended.
+    /// Answers an inquiry about a request; one that has not arrived is cancelled. If the caller's node
+    /// names an earlier process of this node, an unknown request counts as ended.
     fn inquire(&self, id: &str, query: Option<&str>) -> Response<Body> {
         let Ok(id) = id.parse() else {
             return headers::refusal_response(&Refusal::not_run(Reason::BadRequest));
@@ -50,10 +50,11 @@
         let asked = query.and_then(|query| query.strip_prefix("incarnation="));
         let own = self.proxy.membership.member();
         let own = own.map(|member| member.incarnation.to_string());
+        let requests = &self.proxy.requests;
         let phase = if asked.is_none() || asked == own.as_deref() {
-            self.proxy.requests.inquire_or_cancel(id)
+            requests.inquire_or_cancel(id)
         } else {
-            Phase::Done
+            requests.phase(id).unwrap_or(Phase::Done)
         };
         Response::new(full(phase.to_string()))
     }
--- a/src/proxy/requests.rs
+++ b/src/proxy/requests.rs
@@ -72,6 +72,11 @@
         Some(Guard { requests: self, id })
     }
 
+    /// Phase of a request, if it is known.
+    pub(super) fn phase(&self, id: u64) -> Option<Phase> {
+        self.stripe(id).phases.get(&id).copied()
+    }
+
     /// Returns the phase of a request. One that has not arrived is cancelled, so that it is refused
     /// when it does; one that may have been dropped early counts as ended. Says nothing about
     /// requests that arrived more than [`RETENTION`] ago.
--- a/src/proxy/tests.rs
+++ b/src/proxy/tests.rs
@@ -278,6 +278,15 @@
     };
     let answer = inquire("1").await;
     assert!(answer.ends_with("Done"), "{answer}");
+    // A restart that the caller's node has not noticed yet must not hide a request that this process
+    // knows, here as cancelled.
+    let mut stream = TcpStream::connect(mesh).await.unwrap();
+    let text = "POST /.bluebellgap/request/7 HTTP/1.1\r\nhost: peer\r\n\
+        connection: close\r\ncontent-length: 0\r\n\r\n";
+    stream.write_all(text.as_bytes()).await.unwrap();
+    crate::testing::read_to_end(&mut stream).await;
+    let answer = inquire("1").await;
+    assert!(answer.ends_with("Cancelled"), "{answer}");
 }
 
 /// Guards against calls that fail with time left: a request that arrived after an inquiry about it was
--- a/src/sidecar/tasks.rs
+++ b/src/sidecar/tasks.rs
@@ -307,8 +307,15 @@
         .await;
     *revision = match outcome {
         Ok(written) => Some(written),
-        // The row exists, but it could not be read: another program has written it.
-        Err(Error::Conflict(_)) if known_revision == 0 => Some(table.transact(&write).await?),
+        Err(Error::Conflict(_)) if known_revision == 0 => {
+            let revision_now = read_own_row(table, hub, &key).await?;
+            if revision_now > 0 {
+                *revision = Some(revision_now);
+                return Ok(false);
+            }
+            // The row exists, but it cannot be read: another program has written it.
+            Some(table.transact(&write).await?)
+        }
         Err(error) => {
             *revision = None;
             return Err(error);
