Nodes learn of notices that they missed

Cause: a notice was written to a connection once. The connection had gone silent, and nothing on it would have shown that. The repair, a comparison of digests with the watcher's, began anew with each status of any other node; each reply carries one.

Change: a link keeps an update until the answer to a later ping confirms it, and sends it again on the next connection; a connection without a confirmation for 2 s is replaced whatever else arrives. Only the watcher's statuses count for the comparison, and any node's while no node reads the store for others. What differs is fetched in groups, with removals, so that the answer does not grow with the mesh. Stages of releases and messages about quotas are followed by pings too. A node whose row the store does not accept tells the other data centres itself. A lost node whose row is already gone is removed at once.

--- a/src/directory/index.rs
+++ b/src/directory/index.rs
@@ -15,8 +15,10 @@
 use crate::roster::Presence;
 
 /// Time for which a departed incarnation of a node is remembered, so that a delayed message cannot
-/// add it again.
-const DEPARTED_TTL: Duration = Duration::from_mins(1);
+/// add it again, and that nodes which missed its removal learn of it.
+const DEPARTED_TTL: Duration = Duration::from_mins(10);
+/// Most groups in which a peer may have its entries compared.
+const MAX_GROUPS: usize = 1_024;
 
 /// Name and location of this node.
 #[derive(Clone, Debug)]
@@ -108,6 +110,12 @@
     }
 }
 
+/// Group of a node among so many groups.
+fn group(node: &str, groups: usize) -> usize {
+    let groups = groups as u64;
+    usize::try_from(xxh3_64(node.as_bytes()) % groups).unwrap_or_default()
+}
+
 /// Keeps `count` endpoints, which are the same at every node: a trial uses few targets.
 fn keep_first(ranked: &mut Vec<Arc<Endpoint>>, count: usize) {
     if ranked.len() <= count {
@@ -267,6 +275,42 @@
         self.digest.load(Ordering::Relaxed)
     }
 
+    /// Digests of all entries in `groups` groups, by the names of their nodes.
+    pub(crate) fn group_digests(&self, groups: usize) -> Vec<u64> {
+        let mut digests = vec![0; groups];
+        for endpoint in self.lock().endpoints.values() {
+            digests[group(&endpoint.entry.node, groups)] ^= endpoint.entry.digest();
+        }
+        digests
+    }
+
+    /// The entries and removals of the groups whose digests differ from these.
+    pub(crate) fn difference(&self, digests: &[u64]) -> Update {
+        let groups = digests.len();
+        if groups == 0 || groups > MAX_GROUPS {
+            return Update::default();
+        }
+        let own = self.group_digests(groups);
+        let differs = |node: &str| {
+            let group = group(node, groups);
+            own[group] != digests[group]
+        };
+        let state = self.lock();
+        let entries = state.endpoints.values().map(|endpoint| &endpoint.entry);
+        let removed = state.departed.iter();
+        Update {
+            entries: entries
+                .filter(|entry| differs(&entry.node))
+                .cloned()
+                .collect(),
+            removed: removed
+                .filter(|(node, _)| differs(node))
+                .map(|(node, (incarnation, _))| (node.clone(), *incarnation))
+                .collect(),
+            ..Update::default()
+        }
+    }
+
     /// Names and incarnations of the nodes in this data centre, this node included.
     pub(crate) fn neighbours(&self) -> Vec<(String, u64)> {
         let state = self.lock();
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -36,6 +36,9 @@
 /// Start of the year 2200, in milliseconds since 1970.
 const MAX_INCARNATION: u64 = 7_258_118_400_000;
 
+/// Most removals, crashes or clearances in an update that was merged from several.
+const MAX_MERGED_CHANGES: usize = 256;
+
 /// Identifies one offer of one request; a random number chosen by the offering node.
 pub(crate) type OfferId = u64;
 
@@ -365,6 +368,39 @@
     pub cleared: Vec<u64>,
 }
 
+impl Update {
+    /// Whether there is nothing to distribute.
+    pub(super) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+            && self.removed.is_empty()
+            && self.crashes.is_empty()
+            && self.cleared.is_empty()
+    }
+
+    /// Puts the changes of an earlier update before these. Of the entries of a node, only the newest
+    /// one is kept, and the number of other changes is bounded.
+    pub(super) fn prepend(&mut self, earlier: Self) {
+        for entry in earlier.entries {
+            match self.entries.iter_mut().find(|e| e.node == entry.node) {
+                Some(known) if entry.is_newer_than(known) => *known = entry,
+                Some(_) => {}
+                None => self.entries.push(entry),
+            }
+        }
+        prepend_bounded(&mut self.removed, earlier.removed);
+        prepend_bounded(&mut self.crashes, earlier.crashes);
+        prepend_bounded(&mut self.cleared, earlier.cleared);
+    }
+}
+
+/// Puts `earlier` before `items`, and drops the earliest of both beyond [`MAX_MERGED_CHANGES`].
+fn prepend_bounded<T>(items: &mut Vec<T>, mut earlier: Vec<T>) {
+    earlier.append(items);
+    let surplus = earlier.len().saturating_sub(MAX_MERGED_CHANGES);
+    earlier.drain(..surplus);
+    *items = earlier;
+}
+
 /// A version as the platform stores it, compressed with an earlier version as the dictionary.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct PackedVersion {
@@ -465,6 +501,8 @@
     Quota(Box<quota::Message>),
     /// Stages or counts of canary releases.
     Canary(Box<canary::Message>),
+    /// Asks for the entries that differ, by the digests of the sender's entries in groups.
+    CompareRoster(Vec<u64>),
 }
 
 impl Frame {
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -8,6 +8,7 @@
 mod body;
 mod frame;
 mod jobs;
+mod notices;
 mod pace;
 mod peer;
 mod server;
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -14,6 +14,7 @@
 use crate::link::body::Assembly;
 use crate::link::frame::{Entry, Frame, Offer, OfferId, PackedVersion, Part, Reply, Update};
 use crate::link::jobs::MIN_RETENTION;
+use crate::link::notices::Notices;
 use crate::link::pace::Pace;
 use crate::link::server::{Handler, handle_common_frame, handle_status, send_introduction};
 use crate::link::session::{self, Receiver, Sender};
@@ -31,6 +32,10 @@
 const PONG_ROUND_TRIPS: u32 = 4;
 /// Interval of the liveness check while requests or a ping are unanswered.
 const LIVENESS_CHECK_PERIOD: Duration = Duration::from_millis(100);
+/// Time without a received frame after which a message is followed by a ping, so that a connection
+/// which has gone silent is noticed and replaced. Longer than [`PING_IDLE_TIME`]: such messages are
+/// repeated, or what they say is fetched.
+const PING_MESSAGE_TIME: Duration = Duration::from_secs(1);
 /// Pause between attempts to connect to a peer while requests to it are unanswered.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
 /// Pause before the next attempt to connect to an unreachable peer when no request waits for it.
@@ -48,6 +53,8 @@
     Offer(Box<Offer>, oneshot::Sender<Reply>),
     Cancel(OfferId),
     Send(Frame),
+    /// Sends an update until the peer confirms it, and then informs the sender, if there is one.
+    Notify(Update, Option<oneshot::Sender<()>>),
 }
 
 /// Handle of the task that sends requests and messages to one peer.
@@ -127,6 +134,7 @@
             queue,
             shared: shared.clone(),
             pending: HashMap::new(),
+            notices: Notices::default(),
         };
         tokio::spawn(task.run());
         Self { commands, shared }
@@ -145,11 +153,10 @@
         }
     }
 
-    /// Sends an update, connecting if necessary.
+    /// Sends an update, connecting if necessary. It is sent again on a new connection until the peer
+    /// confirms that it has arrived.
     pub(crate) fn send_update(&self, update: Update) {
-        let _ = self
-            .commands
-            .send(Command::Send(Frame::Update(Box::new(update))));
+        let _ = self.commands.send(Command::Notify(update, None));
     }
 
     /// Sends a compressed version, connecting if necessary.
@@ -257,6 +264,8 @@
     queue: mpsc::UnboundedReceiver<Command>,
     shared: Arc<Shared>,
     pending: HashMap<OfferId, PendingOffer>,
+    /// Updates that the peer has not confirmed.
+    notices: Notices,
 }
 
 /// An established connection to the peer.
@@ -278,7 +287,9 @@
         let mut first_command = None;
         loop {
             let retry = self.shared.retry_requested.swap(false, Ordering::Relaxed);
-            if self.pending.is_empty() && first_command.is_none() && !retry {
+            let reachable = !self.shared.unreachable.load(Ordering::Relaxed);
+            let has_notices = reachable && !self.notices.is_empty();
+            if self.pending.is_empty() && first_command.is_none() && !retry && !has_notices {
                 match self.next_command().await {
                     Ok(command) => first_command = command,
                     Err(LinkDropped) => return,
@@ -345,7 +356,7 @@
         };
         self.handler.apply_update(update);
         handle_status(self.handler.as_ref(), &hello.entry, hello.status, &sender);
-        send_introduction(self.handler.as_ref(), &sender);
+        send_introduction(self.handler.as_ref(), &hello.entry, &sender);
         Ok(Session {
             sender,
             receiver,
@@ -361,6 +372,11 @@
     /// `true`).
     async fn serve(&mut self, mut session: Session, first_command: Option<Command>) -> bool {
         self.inquire_pending(&session);
+        for update in self.notices.restart() {
+            if !update.is_empty() {
+                session.send_update(update);
+            }
+        }
         if let Some(command) = first_command {
             self.execute(command, &mut session);
         }
@@ -383,7 +399,7 @@
                     Some(command) => self.execute(command, &mut session),
                     None => return true,
                 },
-                _ = ticker.tick(), if !self.pending.is_empty() || session.ping_sent.is_some() => {
+                _ = ticker.tick(), if self.awaits_peer(&session) => {
                     if self.is_unresponsive(&mut session) || !session.sender.is_open() {
                         log::info!(
                             event = "link_silent",
@@ -431,7 +447,7 @@
                 }
                 self.pending.insert(offer_id, pending);
                 if session.last_received.elapsed() > PING_IDLE_TIME {
-                    session.ping();
+                    self.ping(session);
                 }
             }
             Command::Cancel(offer_id) => {
@@ -440,16 +456,47 @@
                     session.sender.send(Frame::Cancel(offer_id));
                 }
             }
-            Command::Send(Frame::Ping) => session.ping(),
+            Command::Send(Frame::Ping) => self.ping(session),
             Command::Send(frame) => {
+                if matches!(frame, Frame::Canary(_)) {
+                    // A stage is told once. If it is lost, the next connection begins with the stages.
+                    self.notices.push(Update::default(), None, true);
+                }
                 session.sender.send(frame);
+                if session.last_received.elapsed() > PING_MESSAGE_TIME {
+                    self.ping(session);
+                }
+            }
+            Command::Notify(update, waiting) => {
+                let sent = update.is_empty() || session.send_update(&update);
+                let is_awaited = waiting.is_some();
+                self.notices.push(update, waiting, sent);
+                if is_awaited {
+                    self.ping(session);
+                }
             }
         }
     }
 
+    /// Whether anything is expected of the peer, so that its silence matters.
+    fn awaits_peer(&self, session: &Session) -> bool {
+        !self.pending.is_empty() || !self.notices.is_empty() || session.ping_sent.is_some()
+    }
+
+    /// Sends a ping unless one is unanswered.
+    fn ping(&mut self, session: &mut Session) {
+        if session.ping_sent.is_none() && session.sender.send(Frame::Ping) {
+            session.ping_sent = Some(Instant::now());
+            self.notices.record_ping();
+        }
+    }
+
     fn receive(&mut self, frame: Frame, session: &mut Session) -> crate::error::Result<()> {
         session.last_received = Instant::now();
         session.ping_sent = None;
+        if matches!(frame, Frame::Pong(_)) {
+            self.notices.record_pong();
+        }
         let handler = self.handler.as_ref();
         let frame = handle_common_frame(handler, &session.peer, frame, &session.sender);
         match frame {
@@ -537,15 +584,16 @@
     }
 
     /// Whether the peer has not answered a ping in time. Sends a ping if one is due.
-    fn is_unresponsive(&self, session: &mut Session) -> bool {
+    fn is_unresponsive(&mut self, session: &mut Session) -> bool {
         let max_wait = PONG_TIMEOUT + session.round_trip * PONG_ROUND_TRIPS;
         if let Some(ping_sent) = session.ping_sent {
-            return ping_sent.elapsed() > max_wait;
+            return ping_sent.elapsed() > max_wait || self.notices.is_overdue();
         }
-        if session.last_received.elapsed() > PING_IDLE_TIME && !self.pending.is_empty() {
-            session.ping();
+        let is_idle = session.last_received.elapsed() > PING_IDLE_TIME;
+        if is_idle && !self.pending.is_empty() || self.notices.is_ping_due() {
+            self.ping(session);
         }
-        false
+        self.notices.is_overdue()
     }
 
     /// Handles a failed attempt to connect: requests that were not sent are refused as not run,
@@ -563,12 +611,10 @@
             );
         }
         let process_ended = error.kind() == io::ErrorKind::ConnectionRefused;
-        let refuse = |command| {
-            if let Command::Offer(_, reply) = command {
-                let _ = reply.send(Reply::Refused(Refusal::not_run(Reason::Unreachable)));
-            }
-        };
-        first_command.into_iter().for_each(refuse);
+        if let Some(command) = first_command {
+            self.refuse(command);
+        }
+        self.notices.stop_waiting();
         self.refuse_pending(process_ended);
         let until = Instant::now()
             + if self.pending.is_empty() {
@@ -578,11 +624,23 @@
             };
         while let Ok(Some(command)) = tokio::time::timeout_at(until.into(), self.queue.recv()).await
         {
-            if let Command::Cancel(offer_id) = command {
+            self.refuse(command);
+        }
+    }
+
+    /// Handles a command while the peer cannot be reached.
+    fn refuse(&mut self, command: Command) {
+        match command {
+            Command::Offer(_, reply) => {
+                let _ = reply.send(Reply::Refused(Refusal::not_run(Reason::Unreachable)));
+            }
+            Command::Cancel(offer_id) => {
                 self.pending.remove(&offer_id);
-            } else {
-                refuse(command);
             }
+            Command::Notify(update, _) if !update.is_empty() => {
+                self.notices.push(update, None, false);
+            }
+            Command::Notify(..) | Command::Send(_) => {}
         }
     }
 
@@ -609,6 +667,11 @@
 }
 
 impl Session {
+    /// Queues an update; `false` if the connection has closed or its queue is full.
+    fn send_update(&self, update: &Update) -> bool {
+        self.sender.send(Frame::Update(Box::new(update.clone())))
+    }
+
     /// Drops what is left of the bodies of an offer that is no longer pending.
     fn drop_bodies(&mut self, offer_id: OfferId, pending: &PendingOffer) {
         if pending.has_parts {
@@ -616,11 +679,4 @@
         }
         self.arriving.remove(&offer_id);
     }
-
-    /// Sends a ping unless one is unanswered.
-    fn ping(&mut self) {
-        if self.ping_sent.is_none() && self.sender.send(Frame::Ping) {
-            self.ping_sent = Some(Instant::now());
-        }
-    }
 }
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -51,7 +51,7 @@
 pub(crate) struct Fetch {
     /// The version in force is to be fetched if it is higher than this one.
     pub version: Option<u64>,
-    /// Whether to fetch the entries of all nodes.
+    /// Whether to fetch the entries that differ.
     pub roster: bool,
 }
 
@@ -74,8 +74,18 @@
     /// All entries that this node knows, as an update.
     fn roster(&self) -> Update;
 
+    /// Digests of the entries of all nodes, in groups.
+    fn roster_digests(&self) -> Vec<u64> {
+        Vec::new()
+    }
+
+    /// The entries and removals of the groups whose digests differ from those of a peer.
+    fn roster_difference(&self, _digests: &[u64]) -> Update {
+        self.roster()
+    }
+
     /// What a peer that may have just started has to learn from this node, if there is anything.
-    fn introduction(&self) -> Option<Update> {
+    fn introduction(&self, _peer: &Entry) -> Option<Update> {
         None
     }
 
@@ -124,6 +134,12 @@
         Frame::FetchRoster => {
             sender.send(Frame::Update(Box::new(handler.roster())));
         }
+        Frame::CompareRoster(digests) => {
+            let difference = handler.roster_difference(&digests);
+            if !difference.is_empty() {
+                sender.send(Frame::Update(Box::new(difference)));
+            }
+        }
         Frame::FetchVersion(known) => {
             if let Some(packed) = handler.version_above(known) {
                 sender.send(Frame::Version(packed));
@@ -148,13 +164,13 @@
         sender.send(Frame::FetchVersion(known));
     }
     if fetch.roster {
-        sender.send(Frame::FetchRoster);
+        sender.send(Frame::CompareRoster(handler.roster_digests()));
     }
 }
 
 /// Tells a newly connected peer what its process may not know.
-pub(super) fn send_introduction(handler: &dyn Handler, sender: &Sender) {
-    if let Some(update) = handler.introduction() {
+pub(super) fn send_introduction(handler: &dyn Handler, peer: &Entry, sender: &Sender) {
+    if let Some(update) = handler.introduction(peer) {
         sender.send(Frame::Update(Box::new(update)));
     }
     if let Some(notices) = handler.canary_notices() {
@@ -233,7 +249,7 @@
         ..Update::default()
     });
     handle_status(handler.as_ref(), &peer, hello.status, &sender);
-    send_introduction(handler.as_ref(), &sender);
+    send_introduction(handler.as_ref(), &peer, &sender);
     let error = loop {
         let frame = match receiver.next().await {
             Ok(frame) => frame,
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use crate::canary;
 use crate::h1::Response;
 use crate::link::frame::{Frame, OfferId};
 use crate::link::jobs::{Arrival, Jobs};
@@ -19,6 +20,7 @@
     Entry, Fetch, Handler, Hello, Link, Message, Offer, PackedVersion, Reply, Status, Update,
     listen,
 };
+use crate::quota;
 use crate::roster::Presence;
 use crate::testing::{self, until};
 use crate::verdict::{Reason, Refusal, Verdict};
@@ -56,6 +58,18 @@
     fn completed(&self) -> u32 {
         self.completed.load(Ordering::Relaxed)
     }
+
+    /// Whether an entry of the node `name` has arrived.
+    fn received(&self, name: &str) -> bool {
+        let received = self.received_entries.lock().unwrap();
+        received.iter().any(|received| received == name)
+    }
+
+    /// Number of connections of the caller.
+    fn hellos(&self) -> usize {
+        let received = self.received_entries.lock().unwrap();
+        received.iter().filter(|name| *name == "caller").count()
+    }
 }
 
 #[async_trait]
@@ -316,6 +330,62 @@
     assert_eq!(verdict(&reply.unwrap()), None);
 }
 
+/// An update with the entry of the node `name`.
+fn update(name: &str) -> Update {
+    Update {
+        entries: vec![testing::entry(name, "r", "d", 1)],
+        ..Update::default()
+    }
+}
+
+/// Starts a link through a relay, on which an update has arrived.
+async fn link_with_update(node: &Arc<Node>) -> (Link, Arc<Relay>, watch::Sender<()>) {
+    let (address, running) = serve(node).await;
+    let (relay, address) = Relay::start(address).await;
+    let link = Link::new(address, caller());
+    link.send_update(update("first"));
+    until("first update applied", || node.received("first")).await;
+    (link, relay, running)
+}
+
+/// Guards against updates that are lost with a connection which has gone silent, although the peer can
+/// be reached: nothing else was sent that would have shown it.
+#[tokio::test]
+async fn an_update_is_sent_again_after_its_connection_went_silent() {
+    let node = Node::new("n", 1, Duration::ZERO);
+    let (link, relay, _running) = link_with_update(&node).await;
+    relay.mute_open_connections();
+    link.send_update(update("second"));
+    until("second update applied", || node.received("second")).await;
+}
+
+/// Guards against the stage of a release that is lost with a connection which has gone silent: each new
+/// connection begins with the stages.
+#[tokio::test]
+async fn a_connection_that_went_silent_is_replaced_after_a_stage_was_sent() {
+    let node = Node::new("n", 1, Duration::ZERO);
+    let (link, relay, _running) = link_with_update(&node).await;
+    relay.mute_open_connections();
+    let hellos = node.hellos();
+    link.send_canary(canary::Message::Notices(Vec::new()));
+    until("the connection is replaced", || node.hellos() > hellos).await;
+}
+
+/// Guards against shares of quotas that are sent to nobody: nothing else shows that the connection has
+/// gone silent.
+#[tokio::test]
+async fn a_connection_that_went_silent_is_replaced_after_messages_about_quotas() {
+    let node = Node::new("n", 1, Duration::ZERO);
+    let (link, relay, _running) = link_with_update(&node).await;
+    relay.mute_open_connections();
+    let hellos = node.hellos();
+    until("the connection is replaced", || {
+        link.send_quota(quota::Message::Totals(quota::Digest::default()));
+        node.hellos() > hellos
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_restarted_node_reports_requests_to_its_old_process_as_lost() {
     let restarted = Node::new("n", 2, Duration::ZERO);
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -15,6 +15,8 @@
 pub(crate) use aggregate::{Aggregator, Output};
 pub(crate) use decision::Limits;
 pub(crate) use node::{Credit, Quotas};
+#[cfg(test)]
+pub(crate) use wire::Digest;
 pub(crate) use wire::Message;
 
 /// Interval of the full reports of a node, and of the sums and totals of an aggregator.
--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -16,6 +16,7 @@
 use crate::roster::{Crash, Presence, Suspicions};
 use crate::sidecar::quotas::Exchange;
 use crate::sidecar::rollouts::{self, Inbox};
+use crate::sidecar::roster_lag::RosterLag;
 use crate::sidecar::version_lag::{self, VersionLag};
 use crate::sidecar::watcher::{self, Neighbours};
 use crate::store::Era;
@@ -24,9 +25,8 @@
 use crate::verdict::{Reason, Refusal};
 use crate::version::{Mark, Source, Versions};
 
-/// Time for which the watcher's entries may differ from this node's before they are fetched:
-/// updates may still be in transit.
-const ROSTER_GRACE: Duration = Duration::from_millis(700);
+/// Number of groups in which the entries of two nodes are compared.
+const ROSTER_GROUPS: usize = 64;
 
 /// The state of this node that its links, background tasks and listeners share.
 pub(crate) struct Hub {
@@ -49,8 +49,7 @@
     own_entry: Mutex<Entry>,
     version_lag: Mutex<VersionLag>,
     neighbours: Mutex<Neighbours>,
-    /// Since when the watcher's roster digest has differed from this node's.
-    roster_differs_since: Mutex<Option<Instant>>,
+    roster_lag: Mutex<RosterLag>,
     /// Era of the store.
     pub store_era: Arc<Era>,
     /// Whether a packed version could not be unpacked, so that the next one is fetched without a base.
@@ -93,7 +92,7 @@
             own_entry: Mutex::new(own_entry.clone()),
             version_lag: Mutex::default(),
             neighbours: Mutex::default(),
-            roster_differs_since: Mutex::new(None),
+            roster_lag: Mutex::default(),
             store_era,
             fetch_without_base: AtomicBool::new(false),
             quotas: OnceLock::new(),
@@ -140,6 +139,16 @@
         self.announcement_due.notify_one();
     }
 
+    /// Sends the node's own entry to all nodes, because the store did not accept it. Nodes of other data
+    /// centres would not learn of it while the store answers only others.
+    pub(super) fn send_to_all(&self, entry: Entry) {
+        let update = Update {
+            entries: vec![entry],
+            ..Update::default()
+        };
+        self.directory.broadcast(&update, true);
+    }
+
     /// Records what the node's row in the store shows in the given era.
     pub(crate) fn record_stored(&self, entry: Entry, era: u64) {
         self.stored.send_replace(Some(Stored {
@@ -420,23 +429,6 @@
         }
     }
 
-    /// Whether to fetch the watcher's entries: they have differed for [`ROSTER_GRACE`].
-    /// `roster_differs` says whether the status just received shows a difference. It is `false` for
-    /// a status of any node but the watcher; each `false` restarts the grace time.
-    fn should_fetch_roster(&self, roster_differs: bool) -> bool {
-        let mut differs_since = lock(&self.roster_differs_since);
-        if !roster_differs {
-            *differs_since = None;
-            return false;
-        }
-        let first_seen = *differs_since.get_or_insert_with(Instant::now);
-        if first_seen.elapsed() < ROSTER_GRACE {
-            return false;
-        }
-        *differs_since = None;
-        true
-    }
-
     /// Whether another node has reported a higher version than this one has.
     pub(crate) fn is_behind(&self) -> bool {
         lock(&self.version_lag).highest() > self.versions.mark().order()
@@ -501,7 +493,14 @@
             } else {
                 version_lag::FEED_GRACE
             };
-        let roster_differs = from_watcher && status.roster_digest != self.directory.digest();
+        // Nobody has to know all entries while changes in the store reach no node.
+        let compares_roster = (from_watcher || !source_reachable) && {
+            let differs = status.roster_digest != self.directory.digest();
+            lock(&self.roster_lag).record(node, differs, !source_reachable)
+        };
+        if compares_roster {
+            self.counters.count("roster.comparisons");
+        }
         let should_fetch =
             lock(&self.version_lag).record(version.order(), own_version.order(), grace);
         // Of the same number, or after a failure, the whole version: the contents of a base differ.
@@ -509,7 +508,7 @@
             || should_fetch && self.fetch_without_base.load(Ordering::Relaxed);
         Fetch {
             version: should_fetch.then_some(if whole { 0 } else { own_version.number }),
-            roster: self.should_fetch_roster(roster_differs),
+            roster: compares_roster,
         }
     }
 
@@ -538,7 +537,15 @@
         }
     }
 
-    fn introduction(&self) -> Option<Update> {
+    fn roster_digests(&self) -> Vec<u64> {
+        self.directory.group_digests(ROSTER_GROUPS)
+    }
+
+    fn roster_difference(&self, digests: &[u64]) -> Update {
+        self.directory.difference(digests)
+    }
+
+    fn introduction(&self, _peer: &Entry) -> Option<Update> {
         let crashes = self.suspicions.crashes();
         (!crashes.is_empty()).then(|| Update {
             crashes,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -9,6 +9,7 @@
 mod hub;
 mod quotas;
 mod rollouts;
+mod roster_lag;
 mod settings;
 mod tasks;
 mod version_lag;
--- a/src/sidecar/tasks.rs
+++ b/src/sidecar/tasks.rs
@@ -270,6 +270,8 @@
 ) {
     let mut pause = MIN_RETRY_PAUSE;
     let mut revision = None;
+    // Entry that other data centres were told of because the store did not accept it.
+    let mut told = None;
     let mut due = false;
     let mut eras = hub.store_era.subscribe();
     let mut era = *eras.borrow_and_update();
@@ -303,6 +305,11 @@
                     event = "announce_failed";
                     "own entry not read or written; retrying: {error}"
                 );
+                let entry = hub.own_entry();
+                if entry.revision > 0 && told.as_ref() != Some(&entry) {
+                    hub.send_to_all(entry.clone());
+                    told = Some(entry);
+                }
                 tokio::select! {
                     () = tokio::time::sleep(jittered(pause)) => {}
                     _ = stopped.changed() => return,
@@ -384,16 +391,19 @@
     pause.mul_f64(0.75 + 0.5 * rand::random::<f64>())
 }
 
-/// Deletes the entry of another node from the store. Tries once; if it fails, a later sweep of the
-/// watcher tries again for a node that is unreachable, but not for one that was replaced.
-async fn withdraw(table: &dyn Table, node: &str) {
+/// Deletes the entry of another node from the store; returns whether it is deleted. Tries once; if it
+/// fails, a later sweep of the watcher tries again for a node that is unreachable, but not for one that
+/// was replaced.
+async fn withdraw(table: &dyn Table, node: &str) -> bool {
     let transaction = Transaction::default().delete(&entry_key(node));
-    if let Err(error) = table.transact(&transaction).await {
+    let deleted = table.transact(&transaction).await;
+    if let Err(error) = &deleted {
         log::info!(
             event = "withdraw_failed";
             "entry of node '{node}' not deleted from the store: {error}"
         );
     }
+    deleted.is_ok()
 }
 
 /// Pings the neighbours that rank above this node, until `stopped` closes.
@@ -424,7 +434,10 @@
                 node = node.as_str();
                 "node is unreachable or was replaced; deleting its entry"
             );
-            withdraw(table.as_ref(), &node).await;
+            if withdraw(table.as_ref(), &node).await {
+                // The feed says nothing if the row was deleted before.
+                hub.remove_node(&node);
+            }
         }
     }
 }
--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -32,6 +32,7 @@
 use crate::testing::{self, Action, FAILURE, GOOD, ScriptedTarget, read_to_end, until};
 
 mod era;
+mod notices;
 
 /// Loopback address with a port that the system assigns.
 const ANY_PORT: SocketAddr =
