Acknowledge leaving targets once the store or two other nodes keep it

Cause: during an outage of the store the departure was acknowledged after 500 ms although nothing outside the process kept it. The node's next process asked nobody, its first entry erased what the other nodes knew, and a late heartbeat announced the target again.

Other nodes keep the newest announcement of each node's target, tell it to the node's next process, and do not use a target that is announced by an older heartbeat. A process that starts holds its target back until it has read its row and asked the same nodes. A repeated drain is no longer acknowledged without a check, and a departure that came before the row was read reaches the row.

--- a/src/directory/endpoint.rs
+++ b/src/directory/endpoint.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use crate::link::{Entry, Link, Load};
+use crate::link::{Entry, Link, Load, Target};
 use crate::overload::backlog::Backlog;
 use crate::overload::speed::Speed;
 use crate::roster::Presence;
@@ -113,6 +113,8 @@
     pub entry: Entry,
     /// Link to the target's node; absent for the target beside this node.
     pub link: Option<Arc<Link>>,
+    /// Newest announcement of the target, which may come from an earlier process of its node.
+    pub(super) last_target: Option<Target>,
     /// When this node first received an entry with this process of the target.
     pub(super) first_seen: Instant,
     pub(super) stats: Arc<Stats>,
@@ -177,6 +179,7 @@
         Self {
             entry,
             link: None,
+            last_target: None,
             first_seen: now,
             stats: Stats::new(),
             default_round_trip: round_trip,
@@ -190,7 +193,26 @@
     /// reachable.
     pub(crate) fn is_serving(&self) -> bool {
         let reachable = self.link.as_ref().is_none_or(|link| !link.is_unreachable());
-        self.entry.presence == Presence::Serving && reachable
+        self.entry.presence == Presence::Serving && reachable && !self.is_outdated()
+    }
+
+    /// Whether the entry announces the target by an older heartbeat than an earlier entry did. Its
+    /// node does not know what an earlier process has acknowledged, such as a departure.
+    pub(super) fn is_outdated(&self) -> bool {
+        let (target, last) = (&self.entry.target, &self.last_target);
+        let both = target.as_ref().zip(last.as_ref());
+        both.is_some_and(|(target, last)| last.replaces(target))
+    }
+
+    /// The same endpoint with a newer announcement of the target by an earlier process of its node.
+    pub(super) fn with_last_target(&self, target: Target) -> Self {
+        Self {
+            entry: self.entry.clone(),
+            link: self.link.clone(),
+            last_target: Some(target),
+            stats: self.stats.clone(),
+            ..*self
+        }
     }
 
     /// Software version that the target runs; empty if unknown.
--- a/src/directory/index.rs
+++ b/src/directory/index.rs
@@ -6,11 +6,11 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::canary::{Canary, Rule, Turn};
 use crate::directory::endpoint::{Demand, Endpoint, Stats};
-use crate::link::{Entry, Handler, Link, Update};
+use crate::link::{Entry, Handler, Link, Target, Update};
 use crate::overload::backlog;
 use crate::roster::Presence;
 
@@ -55,14 +55,23 @@
     penalty: 1.4,
 };
 
+/// A node that was removed.
+struct Departed {
+    /// Its last incarnation.
+    incarnation: u64,
+    removed_at: Instant,
+    /// Last announcement of the target beside it.
+    target: Option<Target>,
+}
+
 #[derive(Default)]
 struct State {
     /// Endpoints by node name, this node's own included.
     endpoints: BTreeMap<String, Arc<Endpoint>>,
     /// Links by the address of the peer.
     links: HashMap<std::net::SocketAddr, Arc<Link>>,
-    /// Last incarnation of each departed node, and when it was removed.
-    departed: HashMap<String, (u64, Instant)>,
+    /// Departed nodes.
+    departed: HashMap<String, Departed>,
     /// Nodes of this data centre that were removed because another node has their address. Their
     /// rows may still be in the store.
     replaced: Vec<String>,
@@ -102,11 +111,23 @@
 
     /// Removes a node, and records its incarnation as departed.
     fn remove(&mut self, node: &str, incarnation: u64) {
-        self.endpoints.remove(node);
-        self.departed
-            .retain(|_, (_, removed_at)| removed_at.elapsed() < DEPARTED_TTL);
+        let endpoint = self.endpoints.remove(node);
         self.departed
-            .insert(node.to_owned(), (incarnation, Instant::now()));
+            .retain(|_, departed| departed.removed_at.elapsed() < DEPARTED_TTL);
+        let departed = Departed {
+            incarnation,
+            removed_at: Instant::now(),
+            target: endpoint.and_then(|endpoint| endpoint.last_target.clone()),
+        };
+        self.departed.insert(node.to_owned(), departed);
+    }
+
+    /// The last announcement of the target beside a node, by any of the node's processes.
+    fn last_target(&self, node: &str) -> Option<&Target> {
+        match self.endpoints.get(node) {
+            Some(endpoint) => endpoint.last_target.as_ref(),
+            None => self.departed.get(node)?.target.as_ref(),
+        }
     }
 }
 
@@ -116,6 +137,11 @@
     usize::try_from(xxh3_64(node.as_bytes()) % groups).unwrap_or_default()
 }
 
+/// Position of `holder` among the nodes that keep copies for the node `name`.
+fn weight(name: &str, holder: &str) -> u64 {
+    xxh3_64_with_seed(holder.as_bytes(), xxh3_64(name.as_bytes()))
+}
+
 /// Keeps `count` endpoints, which are the same at every node: a trial uses few targets.
 fn keep_first(ranked: &mut Vec<Arc<Endpoint>>, count: usize) {
     if ranked.len() <= count {
@@ -185,17 +211,34 @@
     /// Merges one entry; returns `false` if it is ignored.
     fn merge_entry(&self, state: &mut State, handler: &Arc<dyn Handler>, entry: Entry) -> bool {
         let departed = state.departed.get(&entry.node);
-        if departed.is_some_and(|(incarnation, _)| entry.incarnation <= *incarnation) {
+        if departed.is_some_and(|departed| entry.incarnation <= departed.incarnation) {
             return false;
         }
         let known = state.endpoints.get(&entry.node);
-        if known.is_some_and(|known| !entry.is_newer_than(&known.entry)) {
+        if let Some(known) = known
+            && !entry.is_newer_than(&known.entry)
+        {
+            // A copy of what an earlier process announced still counts.
+            let replaces = |target: &Target| {
+                let last = known.last_target.as_ref();
+                last.is_none_or(|last| target.replaces(last))
+            };
+            if let Some(target) = entry.target.filter(replaces) {
+                let endpoint = known.with_last_target(target);
+                state.endpoints.insert(entry.node, Arc::new(endpoint));
+                self.rebuild(state);
+            }
             return false;
         }
         if !state.evict_address_holders(&entry, &self.locality) {
             return false;
         }
         let is_own = entry.node == self.locality.node;
+        let last_target = match (&entry.target, state.last_target(&entry.node)) {
+            (Some(target), Some(last)) if last.replaces(target) => Some(last.clone()),
+            (Some(target), _) => Some(target.clone()),
+            (None, last) => last.cloned(),
+        };
         let link = (!is_own).then(|| {
             let link = state.links.entry(entry.address);
             link.or_insert_with(|| Arc::new(Link::new(entry.address, handler.clone())))
@@ -227,6 +270,7 @@
         let endpoint = Endpoint {
             entry,
             link,
+            last_target,
             first_seen,
             stats: target_stats,
             default_round_trip: distance.default_round_trip,
@@ -238,6 +282,34 @@
         true
     }
 
+    /// What the process of `entry` may not know of the target beside its node: an announcement of an
+    /// earlier process, as an entry of that process.
+    pub(crate) fn former_entry(&self, entry: &Entry) -> Option<Entry> {
+        let state = self.lock();
+        let last = state.last_target(&entry.node)?;
+        let is_known = entry.target.as_ref().is_some_and(|t| !last.replaces(t));
+        (!is_known).then(|| Entry {
+            incarnation: entry.incarnation.saturating_sub(1),
+            revision: 0,
+            presence: Presence::Down,
+            target: Some(last.clone()),
+            ..entry.clone()
+        })
+    }
+
+    /// Links to all other nodes in the order in which they keep copies of what the node `name` has
+    /// acknowledged. Nodes that know the same members have the same order.
+    pub(crate) fn holders(&self, name: &str) -> Vec<Arc<Link>> {
+        let state = self.lock();
+        let others = state.endpoints.values().filter_map(|endpoint| {
+            let link = endpoint.link.clone()?;
+            Some((weight(name, &endpoint.entry.node), link))
+        });
+        let mut others: Vec<_> = others.collect();
+        others.sort_unstable_by_key(|(weight, _)| *weight);
+        others.into_iter().map(|(_, link)| link).collect()
+    }
+
     /// Removes a node whose process has ended for good. Does nothing if a higher incarnation of the
     /// node is known.
     pub(crate) fn forget(&self, node: &str, incarnation: u64) {
@@ -305,7 +377,7 @@
                 .collect(),
             removed: removed
                 .filter(|(node, _)| differs(node))
-                .map(|(node, (incarnation, _))| (node.clone(), *incarnation))
+                .map(|(node, departed)| (node.clone(), departed.incarnation))
                 .collect(),
             ..Update::default()
         }
@@ -478,7 +550,7 @@
             let Some(target) = &endpoint.entry.target else {
                 continue;
             };
-            if endpoint.entry.presence == Presence::Serving {
+            if endpoint.entry.presence == Presence::Serving && !endpoint.is_outdated() {
                 let list = by_service.entry(target.service.clone()).or_default();
                 list.push(endpoint.clone());
             }
--- a/src/directory/tests.rs
+++ b/src/directory/tests.rs
@@ -329,3 +329,66 @@
     let entry: Entry = serde_json::from_value(row).unwrap();
     assert_eq!(entry.target.unwrap().version, "");
 }
+
+/// An entry of a process that started at `incarnation`, by the heartbeat with this number.
+fn announcement(incarnation: u64, sequence: u64) -> Entry {
+    let mut entry = entry("near", "bkk", "bkk-a", incarnation, 1);
+    if let Some(target) = &mut entry.target {
+        target.sequence = sequence;
+    }
+    entry
+}
+
+/// Guards against requests to a target that left, after a restart of its node that does not know of it.
+#[tokio::test]
+async fn a_target_is_not_used_by_an_older_heartbeat_than_an_earlier_process_announced() {
+    let directory = directory();
+    let mut departed = announcement(1, 3);
+    departed.target = departed.target.map(crate::link::Target::departed);
+    directory.merge(vec![departed]);
+    let started = Entry {
+        target: None,
+        ..announcement(2, 0)
+    };
+    directory.merge(vec![started.clone()]);
+    let told = directory.former_entry(&started).unwrap();
+    assert!(told.incarnation < started.incarnation);
+    assert!(told.target.unwrap().has_departed());
+    let announced = Entry {
+        revision: 2,
+        ..announcement(2, 4)
+    };
+    directory.merge(vec![announced.clone()]);
+    assert!(ranked(&directory, &[]).is_empty());
+    assert!(directory.former_entry(&announced).is_some());
+}
+
+/// Guards against a copy that is ignored because the node's next process is known already.
+#[tokio::test]
+async fn an_announcement_of_an_earlier_process_counts_after_the_next_one_started() {
+    let directory = directory();
+    directory.merge(vec![announcement(2, 4)]);
+    assert_eq!(ranked(&directory, &[]), ["near"]);
+    directory.merge(vec![announcement(1, 5)]);
+    assert!(ranked(&directory, &[]).is_empty());
+    directory.merge(vec![Entry {
+        revision: 2,
+        ..announcement(2, 6)
+    }]);
+    assert_eq!(ranked(&directory, &[]), ["near"]);
+}
+
+/// Guards against a departure that is forgotten with the node's row.
+#[tokio::test]
+async fn a_removed_node_is_told_what_it_announced() {
+    let directory = directory();
+    directory.merge(vec![announcement(1, 3)]);
+    directory.forget("near", 1);
+    let started = Entry {
+        target: None,
+        ..announcement(2, 0)
+    };
+    directory.merge(vec![started.clone()]);
+    let told = directory.former_entry(&started);
+    assert_eq!(told.unwrap().target.unwrap().sequence, 3);
+}
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -277,6 +277,12 @@
         }
     }
 
+    /// Whether this is a later announcement of the same target.
+    pub(crate) fn replaces(&self, other: &Self) -> bool {
+        (&self.id, self.started_ms) == (&other.id, other.started_ms)
+            && self.sequence > other.sequence
+    }
+
     /// Whether the target has left for good.
     pub(crate) fn has_departed(&self) -> bool {
         self.sequence == u64::MAX
--- a/src/link/peer.rs
+++ b/src/link/peer.rs
@@ -159,6 +159,14 @@
         let _ = self.commands.send(Command::Notify(update, None));
     }
 
+    /// Sends an update, and waits until the peer confirms that it has applied this update and has said
+    /// what this process may not know. Returns `false` if the peer cannot be reached.
+    pub(crate) async fn send_confirmed(&self, update: Update) -> bool {
+        let (confirmed, waiting) = oneshot::channel();
+        let _ = self.commands.send(Command::Notify(update, Some(confirmed)));
+        waiting.await.is_ok()
+    }
+
     /// Sends a compressed version, connecting if necessary.
     pub(crate) fn send_version(&self, packed: PackedVersion) {
         let _ = self.commands.send(Command::Send(Frame::Version(packed)));
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -386,6 +386,24 @@
     .await;
 }
 
+#[tokio::test]
+async fn an_update_is_confirmed_once_it_is_applied() {
+    let node = Node::new("n", 1, Duration::ZERO);
+    let (address, running) = serve(&node).await;
+    let link = Link::new(address, caller());
+    assert!(link.send_confirmed(update("first")).await);
+    assert!(node.received("first"));
+    drop((link, running));
+    let gone = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = gone.local_addr().unwrap();
+    drop(gone);
+    assert!(
+        !Link::new(address, caller())
+            .send_confirmed(update("second"))
+            .await
+    );
+}
+
 #[tokio::test]
 async fn a_restarted_node_reports_requests_to_its_old_process_as_lost() {
     let restarted = Node::new("n", 2, Duration::ZERO);
--- a/src/sidecar/heartbeat.rs
+++ b/src/sidecar/heartbeat.rs
@@ -1,7 +1,6 @@
 //! HTTP handler of the listener that receives heartbeats and departure notices of the target.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use async_trait::async_trait;
 use hyper::body::Incoming;
@@ -10,12 +9,10 @@
 
 use crate::dialect::{Dialect, Notice, Phase};
 use crate::http::{self, Body, full, read_whole};
+use crate::sidecar::copies;
 use crate::sidecar::hub::Hub;
 use crate::target::Outcome;
 
-/// Time to store that the target drains or has departed before the notice is acknowledged; below the
-/// time for which targets wait for the acknowledgement.
-const STORE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest accepted body of a notice.
 const MAX_NOTICE_BYTES: usize = 64 * 1024;
 
@@ -37,9 +34,14 @@
         };
         match notice {
             Ok(notice) => {
-                if self.apply(notice) {
-                    let stored = self.hub.wait_until_stored();
-                    let _ = tokio::time::timeout(STORE_TIMEOUT, stored).await;
+                if self.apply(notice) && !copies::secure(&self.hub).await {
+                    log::warn!(
+                        event = "notice_not_safe",
+                        path = head.uri.path();
+                        "neither the store nor other nodes keep the notice; not acknowledging it"
+                    );
+                    let fault = "the notice would be lost with this process; send it again";
+                    return http::json(StatusCode::SERVICE_UNAVAILABLE, &fault);
                 }
                 self.acknowledge()
             }
@@ -75,7 +77,8 @@
                         "heartbeat ignored; it is outdated or its target has departed"
                     );
                 }
-                drains && outcome == Outcome::Changed
+                // A repeated one may follow one that was not acknowledged.
+                drains && outcome != Outcome::Stale
             }
             Notice::Departure { id, started_ms } => {
                 runner.apply_departure(&id, started_ms);
--- a/src/sidecar/hub.rs
+++ b/src/sidecar/hub.rs
@@ -47,6 +47,10 @@
     /// Messages of other nodes about canary releases.
     pub releases: Inbox,
     own_entry: Mutex<Entry>,
+    /// Whether the node had a row in the store when this process read it; `None` before.
+    own_row: watch::Sender<Option<bool>>,
+    /// Whether the entries of all nodes were read, or those of another node were found to be the same.
+    knows_nodes: AtomicBool,
     version_lag: Mutex<VersionLag>,
     neighbours: Mutex<Neighbours>,
     roster_lag: Mutex<RosterLag>,
@@ -90,6 +94,8 @@
             counters,
             releases: Inbox::default(),
             own_entry: Mutex::new(own_entry.clone()),
+            own_row: watch::Sender::new(None),
+            knows_nodes: AtomicBool::new(false),
             version_lag: Mutex::default(),
             neighbours: Mutex::default(),
             roster_lag: Mutex::default(),
@@ -181,6 +187,29 @@
             .await;
     }
 
+    /// Records whether the node had a row in the store.
+    pub(super) fn record_own_row(&self, exists: bool) {
+        self.own_row.send_if_modified(|own_row| {
+            let is_first = own_row.is_none();
+            own_row.get_or_insert(exists);
+            is_first
+        });
+    }
+
+    pub(super) fn subscribe_own_row(&self) -> watch::Receiver<Option<bool>> {
+        self.own_row.subscribe()
+    }
+
+    /// Records that the entries of all nodes are known.
+    pub(super) fn record_nodes(&self) {
+        self.knows_nodes.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the entries of all nodes were known at some time since the start.
+    pub(super) fn knows_nodes(&self) -> bool {
+        self.knows_nodes.load(Ordering::Relaxed)
+    }
+
     /// Has a row that shows what is known of the target written once more, because the store may have
     /// lost it since. [`Self::wait_until_stored`] then waits for that write.
     pub(crate) fn verify_stored(&self) {
@@ -493,11 +522,15 @@
             } else {
                 version_lag::FEED_GRACE
             };
-        // Nobody has to know all entries while changes in the store reach no node.
-        let compares_roster = (from_watcher || !source_reachable) && {
-            let differs = status.roster_digest != self.directory.digest();
-            lock(&self.roster_lag).record(node, differs, !source_reachable)
-        };
+        let roster_differs = status.roster_digest != self.directory.digest();
+        if !roster_differs {
+            self.record_nodes();
+        }
+        // Nobody has to know all entries while changes in the store reach no node. A process that has
+        // just started lacks them.
+        let compares_at_once = !source_reachable || !self.knows_nodes();
+        let compares_roster = (from_watcher || compares_at_once)
+            && lock(&self.roster_lag).record(node, roster_differs, compares_at_once);
         if compares_roster {
             self.counters.count("roster.comparisons");
         }
@@ -545,9 +578,11 @@
         self.directory.difference(digests)
     }
 
-    fn introduction(&self, _peer: &Entry) -> Option<Update> {
+    fn introduction(&self, peer: &Entry) -> Option<Update> {
         let crashes = self.suspicions.crashes();
-        (!crashes.is_empty()).then(|| Update {
+        let former = self.directory.former_entry(peer);
+        (!crashes.is_empty() || former.is_some()).then(|| Update {
+            entries: former.into_iter().collect(),
             crashes,
             ..Update::default()
         })
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -5,6 +5,7 @@
 //! version as the platform stores it, and needs no registrars, leases or claims.
 
 mod admin;
+mod copies;
 mod heartbeat;
 mod hub;
 mod quotas;
@@ -94,6 +95,7 @@
             &memory,
             resources.target_connections(),
         );
+        runner.hold();
         let directory = Arc::new(Directory::new(Locality {
             node: settings.node.clone(),
             region: settings.region.clone(),
@@ -222,6 +224,7 @@
             stopped.clone(),
         ));
         tokio::spawn(tasks::announce(table.clone(), hub.clone(), stopped.clone()));
+        tokio::spawn(copies::release_target(hub.clone(), stopped.clone()));
         tokio::spawn(tasks::remove_lost_nodes(
             table,
             hub.clone(),
--- a/src/sidecar/tasks.rs
+++ b/src/sidecar/tasks.rs
@@ -204,6 +204,8 @@
         hub.apply_entries(entries.clone());
         hub.relay_entries(entries);
     }
+    // The first read is of the whole table.
+    hub.record_nodes();
 }
 
 /// Removes the node of a deleted row; returns the entry of a valid written row.
@@ -371,6 +373,7 @@
 /// unless its replacement is `due` anyway.
 async fn read_own_row(table: &dyn Table, hub: &Hub, key: &str, due: bool) -> Result<u64> {
     let Some(row) = table.get(key).await? else {
+        hub.record_own_row(false);
         return Ok(0);
     };
     let revision = row.revision;
@@ -383,6 +386,7 @@
         hub.announcement_due.notify_one();
     }
     hub.apply_entries(entry.into_iter().collect());
+    hub.record_own_row(true);
     Ok(revision)
 }
 
--- a/src/sidecar/tests.rs
+++ b/src/sidecar/tests.rs
@@ -31,6 +31,7 @@
 use crate::telemetry::Counters;
 use crate::testing::{self, Action, FAILURE, GOOD, ScriptedTarget, read_to_end, until};
 
+mod copies;
 mod era;
 mod notices;
 
--- a/src/target/identity.rs
+++ b/src/target/identity.rs
@@ -71,10 +71,10 @@
 }
 
 impl Departure {
-    /// Whether the heartbeat comes from the target that departed.
-    fn covers(&self, heartbeat: &Heartbeat) -> bool {
-        self.id == heartbeat.id
-            && heartbeat.started_ms <= self.started_until_ms
+    /// Whether the target with this id and start is the one that departed.
+    fn covers(&self, id: &str, started_ms: u64) -> bool {
+        self.id == id
+            && started_ms <= self.started_until_ms
             && self.received_at.elapsed() < DEPARTURE_TTL
     }
 }
@@ -118,12 +118,15 @@
         true
     }
 
+    /// Whether a departure of the target was recorded.
+    pub(crate) fn has_departed(&self, id: &str, started_ms: u64) -> bool {
+        let mut departures = self.departures.iter();
+        departures.any(|departure| departure.covers(id, started_ms))
+    }
+
     /// Applies a heartbeat, unless it is [`Outcome::Stale`], for example because it was delayed.
     pub(crate) fn apply(&mut self, heartbeat: Heartbeat) -> Outcome {
-        let has_departed = self
-            .departures
-            .iter()
-            .any(|departure| departure.covers(&heartbeat));
+        let has_departed = self.has_departed(&heartbeat.id, heartbeat.started_ms);
         let restored = self.restored.as_ref();
         if has_departed || restored.is_some_and(|restored| restored.covers(&heartbeat)) {
             return Outcome::Stale;
--- a/src/target/runner.rs
+++ b/src/target/runner.rs
@@ -41,6 +41,9 @@
     max_connections: u32,
     suspicions: Arc<Suspicions>,
     unreachable_until: Mutex<Option<Instant>>,
+    /// Whether the target must not be announced yet, because an earlier process of the node may have
+    /// acknowledged what this one does not know.
+    held: watch::Sender<bool>,
     /// Whether the node itself is shutting down.
     draining: AtomicBool,
     /// Whether offers state the expected run time of the single request, and waits are derived from
@@ -95,6 +98,7 @@
             max_connections: u32::try_from(max_connections).unwrap_or(u32::MAX),
             suspicions,
             unreachable_until: Mutex::new(None),
+            held: watch::Sender::new(false),
             draining: AtomicBool::new(false),
             by_work: AtomicBool::new(false),
             in_flight: Arc::default(),
@@ -150,13 +154,39 @@
         outcome
     }
 
+    /// Announces no target until [`Self::release`].
+    pub(crate) fn hold(&self) {
+        self.held.send_replace(true);
+    }
+
+    /// Announces the target from now on.
+    pub(crate) fn release(self: &Arc<Self>) {
+        self.held.send_replace(false);
+        self.update_presence(false);
+    }
+
+    /// Waits until the target may be announced.
+    pub(crate) async fn wait_until_released(&self) {
+        let _ = self.held.subscribe().wait_for(|held| !held).await;
+    }
+
     /// Restores what an earlier process of this node announced of the target, so that older
     /// heartbeats are ignored, also if they arrived before. Has no effect if another target is known.
     pub(crate) fn restore(self: &Arc<Self>, target: &Target) {
-        if lock(&self.identity).restore(&target.id, target.started_ms, target.sequence) {
-            lock(&self.last_targets).restored = Some(target.clone());
-            self.update_presence(false);
+        let mut identity = lock(&self.identity);
+        if !identity.restore(&target.id, target.started_ms, target.sequence) {
+            return;
         }
+        let has_departed = identity.has_departed(&target.id, target.started_ms);
+        drop(identity);
+        let mut last_targets = lock(&self.last_targets);
+        last_targets.restored = Some(target.clone());
+        if has_departed {
+            // The departure came before it was known which target it is of.
+            last_targets.departed = Some(target.clone().departed());
+        }
+        drop(last_targets);
+        self.update_presence(false);
     }
 
     /// Whether a target is known that has not departed.
@@ -203,7 +233,8 @@
     /// presence does not show it, as the phase while the node itself shuts down.
     fn update_presence(self: &Arc<Self>, heartbeat_changed: bool) {
         let identity = lock(&self.identity);
-        let current = identity.current();
+        let held = *self.held.borrow();
+        let current = identity.current().filter(|_| !held);
         let unreachable = lock(&self.unreachable_until).is_some_and(|until| Instant::now() < until);
         let presence = match current {
             _ if self.draining.load(Ordering::Relaxed) => Presence::Leaving,
@@ -231,7 +262,7 @@
             let is_same = published.0 == presence
                 && published.1.as_ref().map(announced_facts)
                     == target.as_ref().map(announced_facts);
-            if is_same && !heartbeat_changed {
+            if is_same && (held || !heartbeat_changed) {
                 return false;
             }
             *published = (presence, target);
