Listeners: a connection that received a request passes its closing on to an idle one

Callers saw (node, tests/crowd): for 40 s no answer to ordinary requests while 96 clients that had connected together kept their connections open, all idle.

Cause: a full listener has the longest idle connection close for a new one. If that had received a request before it noticed, it went on and forgot that it was to close. Once as many had as may be open beside the limit, every new connection was refused, whatever the others did. Trace (GET /status): 42 of 42 places idle, 6 connections that were to close, and refused connections rising from 3,023 to 6,558 in 9 s.

Change: such a connection has another idle one close instead; if there is none, it closes after its request.

Measured: an_idle_connection_closes_for_one_that_received_a_request and a_connection_that_lost_its_place_closes_after_its_request describe it; they need the interface of this change.

--- a/src/http/activity.rs
+++ b/src/http/activity.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http_body::{Frame, SizeHint};
 use http_body_util::BodyExt;
+use tokio::sync::Notify;
 
 use crate::http::body::BodyError;
 use crate::http::{Body, Place};
@@ -25,6 +26,7 @@
     always_idle: bool,
     /// Whether the connection has a request.
     has_request: AtomicBool,
+    request_ended: Notify,
 }
 
 impl Activity {
@@ -35,6 +37,7 @@
             account: account.map(Mutex::new),
             always_idle,
             has_request: AtomicBool::new(false),
+            request_ended: Notify::new(),
         });
         activity.end_request();
         activity
@@ -51,7 +54,7 @@
         Running(self.clone())
     }
 
-    /// Completes when the connection has lost its place, and was idle then.
+    /// Completes when the connection has lost its place, and is idle.
     pub(crate) async fn lost(&self) {
         loop {
             let lost = lock(&self.place).lost();
@@ -59,6 +62,7 @@
             if lock(&self.place).is_idle() {
                 return;
             }
+            self.request_ended.notified().await;
         }
     }
 
@@ -80,6 +84,7 @@
         self.has_request.store(false, Ordering::Relaxed);
         self.set_caller_awaited(false);
         lock(&self.place).set_idle(true);
+        self.request_ended.notify_one();
     }
 
     /// Sets whether the caller has to read for the connection to make progress, from now on.
--- a/src/http/places.rs
+++ b/src/http/places.rs
@@ -1,6 +1,7 @@
 //! The connections that may be open at a listener, and which one closes when another needs its place.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
@@ -65,10 +66,12 @@
         if self.open >= self.limit + self.margin {
             return Admission::Refuse;
         }
-        match self.idle.pop_first() {
-            Some((_, id)) => Admission::Replace(id),
-            None => Admission::NoIdle,
-        }
+        self.replace().map_or(Admission::NoIdle, Admission::Replace)
+    }
+
+    /// Takes the place of the connection that has been idle for the longest time, if any is idle.
+    pub(crate) fn replace(&mut self) -> Option<u64> {
+        self.idle.pop_first().map(|(_, id)| id)
     }
 
     /// Adds a connection; returns its id.
@@ -98,7 +101,22 @@
 /// Places of the connections at one listener.
 pub(crate) struct Places {
     table: Mutex<Table>,
-    lost: Mutex<BTreeMap<u64, Arc<Notify>>>,
+    losses: Mutex<BTreeMap<u64, Arc<Loss>>>,
+}
+
+/// Whether a connection has lost its place, and has to close.
+#[derive(Default)]
+struct Loss {
+    happened: AtomicBool,
+    changed: Notify,
+}
+
+impl Loss {
+    async fn wait(&self) {
+        while !self.happened.load(Ordering::Relaxed) {
+            self.changed.notified().await;
+        }
+    }
 }
 
 impl Places {
@@ -115,7 +133,7 @@
     fn with(table: Table) -> Arc<Self> {
         Arc::new(Self {
             table: Mutex::new(table),
-            lost: Mutex::default(),
+            losses: Mutex::default(),
         })
     }
 
@@ -127,9 +145,7 @@
         let admitted = match admission {
             Admission::Accept => return Some(self.take()),
             Admission::Replace(id) => {
-                if let Some(lost) = lock(&self.lost).get(&id) {
-                    lost.notify_one();
-                }
+                self.close(id);
                 true
             }
             Admission::NoIdle => pool.is_some_and(|pool| pool.evict_stalest(Instant::now())),
@@ -148,15 +164,32 @@
     /// Takes a place for an accepted connection.
     fn take(self: &Arc<Self>) -> Place {
         let id = lock(&self.table).add();
-        let lost = Arc::new(Notify::new());
-        lock(&self.lost).insert(id, lost.clone());
+        let loss = Arc::new(Loss::default());
+        lock(&self.losses).insert(id, loss.clone());
         Place {
             places: self.clone(),
             id,
             idle_since: None,
-            lost,
+            loss,
         }
     }
+
+    /// Has a connection close that lost its place.
+    fn close(&self, id: u64) {
+        if let Some(loss) = lock(&self.losses).get(&id) {
+            loss.happened.store(true, Ordering::Relaxed);
+            loss.changed.notify_one();
+        }
+    }
+
+    /// Has another idle connection close, if there is one.
+    fn close_other(&self) -> bool {
+        let other = lock(&self.table).replace();
+        if let Some(other) = other {
+            self.close(other);
+        }
+        other.is_some()
+    }
 }
 
 /// Place of one open connection; free again when dropped.
@@ -164,22 +197,26 @@
     places: Arc<Places>,
     id: u64,
     idle_since: Option<Instant>,
-    lost: Arc<Notify>,
+    loss: Arc<Loss>,
 }
 
 impl Place {
-    /// Sets whether the connection is idle, and so may lose its place to a new one.
+    /// Sets whether the connection is idle, and so may lose its place to a new one. If it has lost its
+    /// place and is not idle any more, another idle connection closes instead; without one, it closes as
+    /// soon as it is idle again.
     pub(crate) fn set_idle(&mut self, idle: bool) {
         if idle == self.idle_since.is_some() {
             return;
         }
-        let mut table = lock(&self.places.table);
         if idle {
             let now = Instant::now();
-            table.begin_idle(self.id, now);
+            lock(&self.places.table).begin_idle(self.id, now);
             self.idle_since = Some(now);
-        } else {
-            table.end_idle(self.id, self.idle_since.take());
+            return;
+        }
+        lock(&self.places.table).end_idle(self.id, self.idle_since.take());
+        if self.loss.happened.load(Ordering::Relaxed) && self.places.close_other() {
+            self.loss.happened.store(false, Ordering::Relaxed);
         }
     }
 
@@ -190,14 +227,15 @@
 
     /// Completes when the connection has lost its place.
     pub(crate) fn lost(&self) -> impl Future<Output = ()> + use<> {
-        self.lost.clone().notified_owned()
+        let loss = self.loss.clone();
+        async move { loss.wait().await }
     }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
         lock(&self.places.table).remove(self.id, self.idle_since);
-        lock(&self.places.lost).remove(&self.id);
+        lock(&self.places.losses).remove(&self.id);
     }
 }
 
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -6,6 +6,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::{Request, Response};
@@ -13,7 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
-use crate::http::{Body, Capacity, Handler, ReadError, Server, full, read_held};
+use crate::http::{Body, Capacity, Handler, Place, Places, ReadError, Server, full, read_held};
 use crate::testing::{pool, until};
 
 const MEMORY_BYTES: usize = 1_000_000;
@@ -47,6 +48,18 @@
     a_body_without_memory_is_refused: LIMIT, LIMIT - 1 => Err(ReadError::NoMemory),
 }
 
+type Piece = Result<Frame<Bytes>, String>;
+
+/// A body of the pieces that are sent.
+fn channel_body() -> (
+    mpsc::Sender<Piece>,
+    impl hyper::body::Body<Data = Bytes, Error = String> + Unpin,
+) {
+    let (sender, mut receiver) = mpsc::channel(1);
+    let stream = futures_util::stream::poll_fn(move |context| receiver.poll_recv(context));
+    (sender, StreamBody::new(stream))
+}
+
 /// Guards against bodies that are used without being counted.
 #[tokio::test]
 async fn memory_of_a_body_is_held_until_it_is_dropped() {
@@ -64,13 +77,9 @@
 #[tokio::test]
 async fn a_body_without_progress_gives_way_to_another() {
     let pool = pool(LIMIT);
-    let (sender, mut receiver) = mpsc::channel::<Result<Frame<Bytes>, String>>(1);
-    let stream = futures_util::stream::poll_fn(move |context| receiver.poll_recv(context));
+    let (sender, mut body) = channel_body();
     let mut account = pool.open();
-    let stalled = tokio::spawn(async move {
-        let mut body = StreamBody::new(stream);
-        read_held(&mut body, LIMIT, &mut account).await
-    });
+    let stalled = tokio::spawn(async move { read_held(&mut body, LIMIT, &mut account).await });
     let part = Bytes::from(vec![1; LIMIT - 1]);
     sender.send(Ok(Frame::data(part))).await.unwrap();
     until("the first body holds memory", || pool.budget().held() > 0).await;
@@ -142,6 +151,41 @@
     assert!(matches!(idle[0].read(&mut [0; 16]).await, Ok(0) | Err(_)));
 }
 
+/// Closes the connections that have lost their places.
+fn close_lost(open: &mut Vec<Place>) {
+    open.retain(|place| place.lost().now_or_never().is_none());
+}
+
+/// Guards against a full listener that refuses all new connections although most of its own are idle: those
+/// that were to close for others had received a request meanwhile, and went on.
+#[test]
+fn an_idle_connection_closes_for_one_that_received_a_request() {
+    let places = Places::within(8);
+    let mut open: Vec<Place> = (0..7).map(|_| places.enter(None).unwrap()).collect();
+    for place in &mut open {
+        place.set_idle(true);
+    }
+    for _ in 0..3 {
+        let new = places.enter(None).expect("a place, as others are idle");
+        open[0].set_idle(false);
+        close_lost(&mut open);
+        open.push(new);
+        open.rotate_left(1);
+    }
+}
+
+/// Guards against the same if no other connection is idle at that time.
+#[test]
+fn a_connection_that_lost_its_place_closes_after_its_request() {
+    let places = Places::within(2);
+    let mut first = places.enter(None).unwrap();
+    first.set_idle(true);
+    let _new = places.enter(None).unwrap();
+    first.set_idle(false);
+    first.set_idle(true);
+    assert!(first.lost().now_or_never().is_some());
+}
+
 macro_rules! running_tests {
     ($($(#[$doc:meta])* $name:ident: $replace:expr => $answered:expr;)*) => {
         $($(#[$doc])*
