Break off responses that are not complete at the deadline, or too long

Callers saw (node, tests/crowd): no answer to ordinary requests for 40 s while 96 clients asked for answers of targets that send a body without end. Memory held, at 37 MB.

Cause: the deadline of a request ended with the head of its response. A body without end kept a slot of its target and, at the caller's node, a connection of a caller; 42 such requests kept all of them (GET /status: 44 calls, and refused connections rising from 7,223 to 10,832). Answers of requests that run once were read up to 256 MiB.

Change: a response has to be complete at the request's deadline and may have [limits] response_bytes, 64 MiB by default; the target's node breaks it off otherwise, so that the caller sees that it is not complete. An announced length above that is no answer.

Measured: an_answer_without_end_is_broken_off_at_the_deadline failed before.

--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -3,11 +3,13 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use http_body::{Frame, SizeHint};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
+use tokio::time::{Sleep, sleep_until};
 
 use crate::memory::{self, Account, Denied, Reservation, make_space};
 
@@ -207,6 +209,60 @@
     account.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// A body that fails if it is not complete at a deadline, or is longer than a limit.
+pub(crate) struct BoundedBody<B> {
+    body: B,
+    deadline: Pin<Box<Sleep>>,
+    /// Bytes that may still follow.
+    room: usize,
+}
+
+impl<B> BoundedBody<B> {
+    pub(crate) fn new(body: B, deadline: Instant, limit: usize) -> Self {
+        Self {
+            body,
+            deadline: Box::pin(sleep_until(deadline.into())),
+            room: limit,
+        }
+    }
+}
+
+impl<B> http_body::Body for BoundedBody<B>
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+    B::Error: Into<BodyError>,
+{
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        // First, because a body without end may always be ready.
+        if self.deadline.as_mut().poll(context).is_ready() {
+            return Poll::Ready(Some(Err("body not complete at the deadline".into())));
+        }
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        if let Poll::Ready(Some(Ok(frame))) = &polled {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            match self.room.checked_sub(bytes) {
+                Some(room) => self.room = room,
+                None => return Poll::Ready(Some(Err(ReadError::TooLarge.to_string().into()))),
+            }
+        }
+        polled.map_err(Into::into)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A resource that a [`ReleasingBody`] releases once it has been read to its end.
 pub(crate) trait Release: Send + Sync + Unpin + 'static {
     /// Called once, after the last byte. If the body fails or is dropped before that, the resource
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -10,7 +10,8 @@
 #[cfg(feature = "standin")]
 pub(crate) use body::aborted_response;
 pub(crate) use body::{
-    Body, MeteredBody, ReadError, Release, ReleasingBody, empty, full, read_held, read_whole,
+    Body, BoundedBody, MeteredBody, ReadError, Release, ReleasingBody, empty, full, read_held,
+    read_whole,
 };
 #[cfg(test)]
 pub(crate) use places::{Admission, Table};
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -14,7 +15,10 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
-use crate::http::{Body, Capacity, Handler, Place, Places, ReadError, Server, full, read_held};
+use crate::http::{
+    Body, BoundedBody, Capacity, Handler, Place, Places, ReadError, Server, full, read_held,
+    read_whole,
+};
 use crate::testing::{pool, until};
 
 const MEMORY_BYTES: usize = 1_000_000;
@@ -60,6 +64,39 @@
     (sender, StreamBody::new(stream))
 }
 
+/// Reads a body in two pieces of so many bytes, of which the second one follows after `pause`, within a
+/// limit and for at most a second.
+async fn read_bounded(pieces: [usize; 2], pause: Duration) -> Result<usize, String> {
+    let (sender, body) = channel_body();
+    let deadline = tokio::time::Instant::now() + Duration::from_secs(1);
+    let mut body = BoundedBody::new(body, deadline.into_std(), LIMIT);
+    tokio::spawn(async move {
+        for bytes in pieces {
+            let _ = sender.send(Ok(Frame::data(vec![1; bytes].into()))).await;
+            tokio::time::sleep(pause).await;
+        }
+    });
+    read_whole(&mut body, usize::MAX)
+        .await
+        .map(|body| body.len())
+}
+
+macro_rules! bounded_body_tests {
+    ($($name:ident: $pieces:expr, $pause:expr => $expected:pat,)*) => {
+        $(#[tokio::test]
+        async fn $name() {
+            let outcome = read_bounded($pieces, $pause).await;
+            assert!(matches!(outcome, $expected), "{outcome:?}");
+        })*
+    };
+}
+
+bounded_body_tests! {
+    a_bounded_body_at_its_limit_is_read: [LIMIT - 1, 1], Duration::ZERO => Ok(LIMIT),
+    a_bounded_body_over_its_limit_fails: [LIMIT, 1], Duration::ZERO => Err(_),
+    a_bounded_body_fails_at_its_deadline: [1, 1], Duration::from_secs(2) => Err(_),
+}
+
 /// Guards against bodies that are used without being counted.
 #[tokio::test]
 async fn memory_of_a_body_is_held_until_it_is_dropped() {
--- a/src/proxy/at_most_once.rs
+++ b/src/proxy/at_most_once.rs
@@ -15,7 +15,6 @@
 
 /// Maximum size of an answer that is recorded for repeats; a repeat of a larger one is refused.
 const MAX_RECORDED_BYTES: usize = 64 * 1024;
-const MAX_ANSWER_BYTES: usize = 256 * 1024 * 1024;
 
 /// Dispatches a call at most once per idempotency key; a repeat gets the recorded answer.
 pub(super) async fn dispatch(
@@ -78,7 +77,8 @@
     };
     let (head, mut body) = response.into_parts();
     let mut account = proxy.memory.open();
-    let bytes = match read_held(&mut body, MAX_ANSWER_BYTES, &mut account).await {
+    let limit = proxy.settings.limits.response_bytes;
+    let bytes = match read_held(&mut body, limit, &mut account).await {
         Ok(bytes) => bytes,
         Err(error) => {
             let reason = match error {
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -8,7 +8,9 @@
 use hyper::{Request, Response};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::http::{Body, Connection, Pool, ReleasingBody, SendError, empty, full, read_whole};
+use crate::http::{
+    Body, BoundedBody, Connection, Pool, ReleasingBody, SendError, empty, full, read_whole,
+};
 use crate::proxy::Proxy;
 use crate::proxy::call::Call;
 use crate::proxy::headers;
@@ -281,7 +283,9 @@
             }
             in_flight.end(Outcome::Answered);
             proxy.throttle(&call.route.service).record_accepted();
-            let mut response = response.map(http_body_util::BodyExt::boxed);
+            let mut response = response.map(|body| {
+                http_body_util::BodyExt::boxed(BoundedBody::new(body, call.deadline, usize::MAX))
+            });
             headers::strip_hop_by_hop(response.headers_mut());
             headers::strip_reserved(response.headers_mut());
             Ok(response)
--- a/src/proxy/call.rs
+++ b/src/proxy/call.rs
@@ -22,7 +22,7 @@
     pub tenant: String,
     /// Weight of the tenant.
     pub weight: u32,
-    /// Time by which the answer must have begun.
+    /// Time by which the answer must be complete.
     pub deadline: Instant,
     pub method: Method,
     /// Path and query.
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -96,7 +96,7 @@
             throttles: Mutex::new(HashMap::new()),
             requests: Requests::default(),
             inquiries: Semaphore::new(dependencies.settings.resources.control_connections()),
-            target: target.map(|target| LocalTarget::new(&target, limits.queue, proxy.clone())),
+            target: target.map(|target| LocalTarget::new(&target, limits, proxy.clone())),
             settings: dependencies.settings,
             agent: dependencies.agent,
             bundles: dependencies.bundles,
--- a/src/proxy/target.rs
+++ b/src/proxy/target.rs
@@ -13,12 +13,12 @@
 use tokio::sync::{Semaphore, watch};
 
 use crate::admission::{Admission, Permit, Ticket};
-use crate::http::{Body, Connection, Pool, ReleasingBody, SendError, full};
+use crate::http::{Body, BoundedBody, Connection, Pool, ReleasingBody, SendError, full};
 use crate::proxy::Proxy;
 use crate::proxy::headers::{self, Envelope};
 use crate::roster::{Change, Crash, Presence};
 use crate::route::Load;
-use crate::settings::TargetSettings;
+use crate::settings::{Limits, TargetSettings};
 use crate::status;
 use crate::verdict::{Reason, Refusal};
 
@@ -40,6 +40,8 @@
     settings: TargetSettings,
     admission: Arc<Admission>,
     pool: Pool,
+    /// Largest body of a response; a target may send bytes without end.
+    max_response_bytes: usize,
     lost_requests: Arc<Mutex<LostRequests>>,
     /// Number of the current or next crash.
     crash_number: Arc<AtomicU64>,
@@ -49,11 +51,12 @@
 }
 
 impl LocalTarget {
-    pub(super) fn new(settings: &TargetSettings, max_queued: usize, proxy: Weak<Proxy>) -> Self {
+    pub(super) fn new(settings: &TargetSettings, limits: Limits, proxy: Weak<Proxy>) -> Self {
         Self {
             settings: settings.clone(),
-            admission: Admission::new(settings.slots, max_queued),
+            admission: Admission::new(settings.slots, limits.queue),
             pool: Pool::new(settings.address),
+            max_response_bytes: limits.response_bytes,
             lost_requests: Arc::default(),
             crash_number: Arc::new(AtomicU64::new(1)),
             isolation: Semaphore::new(1),
@@ -116,7 +119,19 @@
                 );
                 Err(Refusal::may_have_run(Reason::Spoiled))
             }
-            Ok(Ok(response)) => Ok(target_response(proxy, fingerprint, permit, response)),
+            Ok(Ok(response)) if self.is_too_large(&response) => {
+                log::info!(
+                    event = "answer_spoiled",
+                    status = response.status().as_u16();
+                    "answer of the target announces more bytes than an answer may have; discarding it"
+                );
+                Err(Refusal::may_have_run(Reason::Spoiled))
+            }
+            Ok(Ok(response)) => {
+                let response = target_response(proxy, fingerprint, permit, response);
+                let limit = self.max_response_bytes;
+                Ok(response.map(|body| BoundedBody::new(body, deadline, limit).boxed()))
+            }
             Ok(Err(SendError::Unsent(error))) => {
                 log::debug!("request not sent to the target; announcing it as down: {error}");
                 proxy.membership.set_presence(Presence::Down);
@@ -130,6 +145,12 @@
         }
     }
 
+    /// Whether a response announces a body over the limit.
+    fn is_too_large(&self, response: &Response<impl hyper::body::Body>) -> bool {
+        let announced = usize::try_from(response.body().size_hint().lower());
+        announced.map_or(true, |announced| announced > self.max_response_bytes)
+    }
+
     /// Lets at most one request that was in flight at a crash run at a time, so that the next
     /// crash shows which of them caused it.
     async fn isolate_suspect(
@@ -177,8 +198,8 @@
     }
 }
 
-/// The target's response for the caller's node. It holds the permit until its body ends, and clears
-/// the request of suspicion.
+/// The target's response for the caller's node. It holds the permit until its body ends or fails, and
+/// clears the request of suspicion.
 fn target_response(
     proxy: &Arc<Proxy>,
     fingerprint: u64,
--- a/src/proxy/tests.rs
+++ b/src/proxy/tests.rs
@@ -174,6 +174,31 @@
     crate::testing::until("connection closed", || CLOSED.load(Ordering::Relaxed)).await;
 }
 
+/// Guards against answers without end that keep a slot of their target, and a connection of the node,
+/// until their callers leave.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_end_is_broken_off_at_the_deadline() {
+    static CLOSED: AtomicBool = AtomicBool::new(false);
+    let target = Script::Endless("HTTP/1.1 200 OK\r\n\r\n", &CLOSED);
+    let (_mesh, node) = start_one_node(start_scripted_server(target).await).await;
+    let mut stream = TcpStream::connect(node.addresses().caller).await.unwrap();
+    let request = "POST /read HTTP/1.1\r\nhost: depot\r\nx-bluebellgap-deadline-ms: 500\r\n\
+        content-length: 0\r\n\r\n";
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let answer = tokio::time::timeout(STARTUP_TIMEOUT, crate::testing::read_to_end(&mut stream));
+    let answer = answer.await.expect("the answer ends");
+    assert!(!answer.ends_with("\r\n0\r\n\r\n"), "complete");
+    crate::testing::until("connection closed", || CLOSED.load(Ordering::Relaxed)).await;
+}
+
+/// Guards against an answer that announces more bytes than an answer may have, and is read up to there.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_announces_too_many_bytes_is_discarded() {
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 1152921504606846976\r\n\r\n";
+    let answer = call(Script::Bytes(head), "/read").await;
+    assert_eq!(answer.reason.as_deref(), Some("spoiled"), "{answer:?}");
+}
+
 /// Guards against an answer that breaks off in its head and is taken for one without a body.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_breaks_off_in_its_head_may_have_run() {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -79,6 +79,8 @@
 pub struct Limits {
     /// Largest request body, in bytes.
     pub body_bytes: usize,
+    /// Largest body of a target's response, in bytes.
+    pub response_bytes: usize,
     /// Maximum number of requests that wait for a slot of the target.
     pub queue: usize,
     /// Upper bound of retries and hedges, in percent of recent requests.
@@ -117,6 +119,7 @@
     fn default() -> Self {
         Self {
             body_bytes: 4 * 1024 * 1024,
+            response_bytes: 64 * 1024 * 1024,
             queue: 1_024,
             retry_percent: 10,
             eject_percent: 34,
@@ -325,6 +328,11 @@
     let to_usize = |number: u64| usize::try_from(number).unwrap_or(usize::MAX);
     Limits {
         body_bytes: to_usize(reader.number("body_bytes", 1..=1 << 30, limits.body_bytes as u64)),
+        response_bytes: to_usize(reader.number(
+            "response_bytes",
+            1..=1 << 40,
+            limits.response_bytes as u64,
+        )),
         queue: to_usize(reader.number("queue", 1..=1_000_000, limits.queue as u64)),
         retry_percent: to_u32(reader.number("retry_percent", 0..=100, limits.retry_percent.into())),
         eject_percent: to_u32(reader.number("eject_percent", 0..=50, limits.eject_percent.into())),
--- a/tests/crowd/client.rs
+++ b/tests/crowd/client.rs
@@ -283,6 +283,21 @@
     exchange(admin, "GET", "/ready", b"").await
 }
 
+/// Reads the status at a node's admin listener.
+pub async fn status(admin: SocketAddr) -> String {
+    let exchange = async {
+        let mut stream = TcpStream::connect(admin).await?;
+        let request = format!("GET /status HTTP/1.1\r\nhost: {HOST}\r\nconnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).await?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await?;
+        std::io::Result::Ok(answer)
+    };
+    let limit = Duration::from_millis(DEADLINE_MS);
+    let answer = tokio::time::timeout(limit, exchange).await;
+    answer.ok().and_then(Result::ok).unwrap_or_default()
+}
+
 async fn exchange(node: SocketAddr, method: &str, path: &str, body: &[u8]) -> Option<u16> {
     let exchange = async {
         let mut stream = TcpStream::connect(node).await.ok()?;
--- a/tests/crowd/main.rs
+++ b/tests/crowd/main.rs
@@ -91,7 +91,7 @@
     let outcome = mesh.check(case).await;
     drop(connected);
     if outcome.is_err() {
-        mesh.print_logs();
+        mesh.print_logs().await;
     }
     assert!(outcome.is_ok(), "{case}: {outcome:?}");
 }
@@ -219,6 +219,9 @@
         Crowd::sending("/once/near/large", Body::None, HEAD_CLIENTS)
             .with_headers("idempotency-key: {id}\r\n"),
     ];
+    /// Guards against answers without end that are read to be recorded, also when their callers have left.
+    node_answers_without_end_of_requests_that_run_once: ["/once/near/endless", "/once/far/endless"]
+        .map(|path| Crowd::sending(path, Body::None, CLIENTS).with_headers("idempotency-key: {id}\r\n"));
     /// Guards against a process without descriptors: it could neither accept nor connect.
     node_connections_that_send_nothing_or_a_part_of_a_head: [Crowd::idle(IDLE_CLIENTS).persistent()];
     /// Guards against targets that send without end.
@@ -270,6 +273,64 @@
         ["/near/large-head", "/far/large-head"].map(|path| Crowd::pipelining_small(path, MANY_CLIENTS));
 }
 
+/// Crowds that come again, to targets beside the node and beside another one that send without end.
+macro_rules! targets_without_end {
+    ($program:ident; $($(#[$doc:meta])* $name:ident: $last:literal,)*) => {
+        crowds! { $program, &[], LIMITS;
+            $($(#[$doc])*
+            $name: [concat!("/near/", $last), concat!("/far/", $last)]
+                .map(|path| Crowd::sending(path, Body::None, CLIENTS).persistent());)*
+        }
+    };
+}
+
+targets_without_end! { Node;
+    /// Guards against slots that are kept by answers which end only with their connection.
+    node_answers_until_the_connection_closes: "endless",
+    /// Guards against slots that are kept by answers of a length that never arrives.
+    node_answers_of_a_length_without_end: "length",
+    /// Guards against slots that are kept by one chunk.
+    node_chunks_without_end: "giant-chunk",
+    /// Guards against chunk extensions that are read for ever.
+    node_chunk_extensions_without_end: "extension",
+    /// Guards against trailers that are read for ever.
+    node_trailers_without_end: "trailers",
+    /// Guards against heads that are read for ever.
+    node_headers_without_end: "headers",
+    /// Guards against a line of a head that is read for ever.
+    node_a_header_line_without_end: "header-line",
+    /// Guards against a first line that is read for ever.
+    node_a_status_line_without_end: "status-line",
+    /// Guards against bytes that are no answer.
+    node_bytes_that_are_no_answer: "garbage",
+    /// Guards against interim answers that are skipped for ever.
+    node_interim_answers_without_end: "interim",
+    /// Guards against answers to other requests that are skipped for ever.
+    node_foreign_answers_without_end: "foreign",
+    /// Guards against bytes that follow an answer while nobody waits for one.
+    node_bytes_after_an_answer_without_end: "more",
+}
+
+crowds! { Sidecar, &[], LIMITS;
+    /// Guards against heads, and bytes in place of them, that are read for ever.
+    heads_without_end_on_all_paths:
+        without_end(&["headers", "header-line", "status-line", "garbage", "interim", "foreign"]);
+    /// Guards against bodies, and bytes after them, that are read for ever.
+    bodies_without_end_on_all_paths:
+        without_end(&["endless", "length", "giant-chunk", "extension", "trailers", "more"]);
+}
+
+/// Crowds that come again, to targets beside the node and beside another one, which together send as
+/// many requests over each path as the one of a case with a single kind of answer.
+fn without_end(kinds: &[&str]) -> Vec<Crowd> {
+    let paths = kinds
+        .iter()
+        .flat_map(|kind| [format!("/near/{kind}"), format!("/far/{kind}")]);
+    let clients = CLIENTS / kinds.len();
+    let crowds = paths.map(|path| Crowd::sending(path.leak(), Body::None, clients).persistent());
+    crowds.collect()
+}
+
 /// Clients of all kinds at once.
 fn mixed() -> Vec<Crowd> {
     let whole = Body::Announced(MAX_BODY_BYTES, MAX_BODY_BYTES);
--- a/tests/crowd/mesh.rs
+++ b/tests/crowd/mesh.rs
@@ -190,9 +190,12 @@
         false
     }
 
-    /// Prints the last lines that each node logged.
-    pub fn print_logs(&self) {
+    /// Prints the last lines that each node logged, and its status.
+    pub async fn print_logs(&self) {
         for node in &self.nodes {
+            for line in client::status(node.admin).await.lines() {
+                eprintln!("{}: {line}", node.name);
+            }
             let log = self.folder.path().join(format!("{}.log", node.name));
             let text = std::fs::read_to_string(log).unwrap_or_default();
             let lines: Vec<_> = text.lines().rev().take(LOG_LINES).collect();
--- a/tests/crowd/program.rs
+++ b/tests/crowd/program.rs
@@ -142,13 +142,14 @@
              [listen]\ncaller = {}\nmesh = {}\ncontrol = {}\nadmin = {}\n\
              [platform]\naddress = {platform}\n[operators]\n{OPERATOR} = {key}\n\
              [target]\ngroup = {name}\naddress = {}\nslots = {SLOTS}\n\
-             [limits]\nbody_bytes = {}\nmemory_mb = {}\nmax_fds = {}\n",
+             [limits]\nbody_bytes = {}\nresponse_bytes = {}\nmemory_mb = {}\nmax_fds = {}\n",
             listener(CALLER_PORT),
             listener(MESH_PORT),
             listener(CONTROL_PORT),
             listener(ADMIN_PORT),
             listener(TARGET_PORT),
             limits.body_bytes,
+            limits.body_bytes,
             limits.memory_mb,
             limits.max_fds,
         )
--- a/tests/crowd/target.rs
+++ b/tests/crowd/target.rs
@@ -20,6 +20,9 @@
 const LARGE_BYTES: usize = 4 * 1024 * 1024;
 /// Length of a header of the answer to a request to `large-head`.
 const LARGE_HEADER_BYTES: usize = 60_000;
+/// An answer to a request that nobody has sent.
+const FOREIGN_ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nbluebellgap-request-id: foreign\r\n\
+    bluebellgap-server-stamp: crowd\r\ncontent-length: 2\r\n\r\nok";
 const PIECE: [u8; 16 * 1024] = [b'x'; 16 * 1024];
 
 /// Starts a target of `service` at `address`, which announces itself to `heartbeat`.
@@ -112,8 +115,19 @@
 /// Answers as the last part of the path says.
 async fn answer(stream: &mut TcpStream, path: &str, head: String) -> std::io::Result<()> {
     let chunked = "transfer-encoding: chunked\r\n\r\n";
+    let status = "HTTP/1.1 200 ".to_owned();
     let (start, repeated): (String, &[u8]) = match path.rsplit('/').next().unwrap_or_default() {
         "endless" => (head + "\r\n", &PIECE),
+        "length" => (
+            format!("{head}content-length: {}\r\n\r\n", 1_u64 << 60),
+            &PIECE,
+        ),
+        "garbage" => (String::new(), &PIECE),
+        "status-line" => (status, &PIECE),
+        "header-line" => (head + "x-header: ", &PIECE),
+        "interim" => (String::new(), b"HTTP/1.1 100 Continue\r\n\r\n"),
+        "foreign" => (String::new(), FOREIGN_ANSWER),
+        "more" => (head + "content-length: 2\r\n\r\nok", &PIECE),
         "giant-chunk" => (format!("{head}{chunked}{:x}\r\n", 1_u64 << 60), &PIECE),
         "extension" => (head + chunked + "5;", &PIECE),
         "trailers" => (head + chunked + "0\r\n", b"x-trailer: 1\r\n"),
