Sidecar: parse a head again only when a line of it has ended

A head that arrives in single bytes was parsed with each of them; one of 64 KiB made up to 2 GB of parsing.

--- a/src/h1/stream.rs
+++ b/src/h1/stream.rs
@@ -197,10 +197,13 @@
         limit: usize,
     ) -> Result<(Request, Framing), Fault> {
         self.open_account();
+        let mut parsed = 0;
         loop {
             self.message_cost = head_cost(self.buffer.len().min(limit));
             self.hold(0).await?;
-            if let Some((request, length, framing)) = parse_request(&self.buffer)? {
+            if may_end_head(&self.buffer, parsed)
+                && let Some((request, length, framing)) = parse_request(&self.buffer)?
+            {
                 if length > limit {
                     return Err(Fault::HeadTooLarge);
                 }
@@ -208,6 +211,7 @@
                 self.message_cost = head_cost(length);
                 return Ok((request, framing));
             }
+            parsed = self.buffer.len();
             if self.buffer.len() > limit {
                 return Err(Fault::HeadTooLarge);
             }
@@ -223,6 +227,7 @@
         body_limit: usize,
     ) -> Result<Response, Fault> {
         let mut interim_responses = 0;
+        let mut parsed = 0;
         self.open_account();
         if self.buffer.is_empty() {
             // The peer works on the request. It has not stalled, however long that takes.
@@ -231,8 +236,13 @@
         loop {
             self.message_cost = head_cost(self.buffer.len().min(MAX_RESPONSE_HEAD_BYTES));
             self.hold(0).await?;
-            let parsed = parse_response(&self.buffer, method)?;
-            let Some((mut response, length, framing)) = parsed else {
+            let complete = if may_end_head(&self.buffer, parsed) {
+                parse_response(&self.buffer, method)?
+            } else {
+                None
+            };
+            let Some((mut response, length, framing)) = complete else {
+                parsed = self.buffer.len();
                 if self.buffer.len() > MAX_RESPONSE_HEAD_BYTES {
                     return Err(Fault::HeadTooLarge);
                 }
@@ -244,6 +254,7 @@
                 continue;
             };
             self.buffer.advance(length);
+            parsed = 0;
             if response.status.is_informational() {
                 interim_responses += 1;
                 if interim_responses > MAX_INTERIM_RESPONSES {
@@ -426,6 +437,13 @@
     }
 }
 
+/// Whether a head can be complete, or is known to be invalid, now that more of it has arrived after its
+/// first `parsed` bytes: a line has ended. Otherwise, a head that arrives in single bytes would be parsed
+/// with each of them.
+pub(super) fn may_end_head(buffer: &[u8], parsed: usize) -> bool {
+    parsed == 0 || buffer[parsed..].contains(&b'\n')
+}
+
 /// Receives bytes, unless the account loses its place first.
 async fn unless_evicted(
     account: Option<&Account>,
--- a/src/h1/tests.rs
+++ b/src/h1/tests.rs
@@ -2,7 +2,9 @@
 
 use bytes::BytesMut;
 use hyper::Method;
+use tokio::io::AsyncWriteExt;
 
+use crate::h1::stream::may_end_head;
 use crate::h1::{Fault, Framing, Stream};
 use crate::testing::{pool, until};
 
@@ -234,3 +236,38 @@
         );
     }
 }
+
+macro_rules! head_end_tests {
+    ($($(#[doc = $doc:literal])* $name:ident: $buffer:expr, $parsed:expr => $expected:expr,)*) => {
+        $($(#[doc = $doc])*
+        #[test]
+        fn $name() {
+            assert_eq!(may_end_head($buffer, $parsed), $expected);
+        })*
+    };
+}
+
+head_end_tests! {
+    the_first_bytes_of_a_head_are_parsed: b"HT", 0 => true,
+    /// Guards against a cost of each byte that grows with the head.
+    a_line_that_goes_on_is_not_parsed_again: b"HTTP/1.1 200 OK\r\nx: y", 20 => false,
+    the_end_of_a_line_is_parsed: b"HTTP/1.1 200 OK\r\n\r\n", 18 => true,
+}
+
+/// Guards against a head that is complete and not noticed, however its bytes arrive.
+#[tokio::test]
+async fn a_response_in_single_bytes_is_read() {
+    let (mut sender, receiver) = tokio::io::duplex(1);
+    let text = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    tokio::spawn(async move {
+        for byte in text {
+            let _ = sender.write_all(&[*byte]).await;
+        }
+    });
+    let mut stream = Stream::new(receiver);
+    let response = stream.read_response(&Method::GET, 1024).await.unwrap();
+    assert_eq!(
+        (response.status.as_u16(), &response.body[..]),
+        (200, &b"ok"[..])
+    );
+}
