Node: bytes that are no answer are no crash, and failures are no overload

Callers saw: requests refused as suspected of crashing targets after two answers that were none, from one faulty target.

Cause: bytes that are no answer were taken for a lost connection, and that for a crash, whose fingerprint is reported to all nodes. Besides, three failures in a row ejected the only target of a group, and failures at a target counted as refusals for load, so that the caller's node shed requests to the service.

Change: such bytes are reported as spoiled, and count as a failure of the target, not as a crash. An ejected target is chosen if there is no other. Only refusals for load count in the throttle.

--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -29,6 +29,9 @@
     /// The connection failed when the request may have been sent, in whole or in part.
     #[display("connection lost: {_0}")]
     Lost(String),
+    /// What arrived is not a response, or its head is too large. The request may have been sent.
+    #[display("invalid response: {_0}")]
+    Invalid(String),
 }
 
 struct IdleConnection {
@@ -100,6 +103,9 @@
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if !is_new => request = unsent,
                     Some(_) => return Err(SendError::Unsent(error.error().to_string())),
+                    None if error.error().is_parse() || error.error().is_parse_too_large() => {
+                        return Err(SendError::Invalid(error.error().to_string()));
+                    }
                     None => return Err(SendError::Lost(error.error().to_string())),
                 },
             }
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -274,9 +274,13 @@
             let refusal = headers::read_refusal(response.status(), response.headers());
             if let Some(refusal) = refusal {
                 record_crash(proxy, call, endpoint, response.headers());
+                if !matches!(refusal.reason, Reason::Overloaded | Reason::Draining) {
+                    // The throttle answers overload. A request that failed at the target was accepted.
+                    proxy.throttle(&call.route.service).record_accepted();
+                }
                 in_flight.end(match refusal.reason {
                     Reason::Overloaded | Reason::Draining => Outcome::Refused,
-                    Reason::ConnectionLost => Outcome::Failed,
+                    Reason::ConnectionLost | Reason::Spoiled => Outcome::Failed,
                     _ => Outcome::Cancelled,
                 });
                 return Err(refusal);
@@ -299,7 +303,7 @@
             endpoint.eject();
             Err(Refusal::not_run(Reason::ConnectionLost))
         }
-        Err(SendError::Lost(error)) => {
+        Err(SendError::Lost(error) | SendError::Invalid(error)) => {
             log::debug!(
                 "no answer from node {}, request may have run: {error}",
                 endpoint.member.node
--- a/src/proxy/target.rs
+++ b/src/proxy/target.rs
@@ -137,6 +137,14 @@
                 proxy.membership.set_presence(Presence::Down);
                 Err(Refusal::not_run(Reason::ConnectionLost))
             }
+            Ok(Err(SendError::Invalid(error))) => {
+                // The target has not crashed: it still sends.
+                log::info!(
+                    event = "answer_spoiled";
+                    "what the target sent is no answer; discarding it: {error}"
+                );
+                Err(Refusal::may_have_run(Reason::Spoiled))
+            }
             Ok(Err(SendError::Lost(error))) => {
                 log::debug!("no answer from the target, request may have run: {error}");
                 Err(self.record_lost(fingerprint))
--- a/src/proxy/tests.rs
+++ b/src/proxy/tests.rs
@@ -191,6 +191,21 @@
     crate::testing::until("connection closed", || CLOSED.load(Ordering::Relaxed)).await;
 }
 
+/// Guards against requests that are refused everywhere because one target answered them with bytes that
+/// are no answer, which was taken for a crash.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_that_are_no_answer_are_no_crash() {
+    let target = start_scripted_server(Script::Bytes("\u{1}no answer\r\n\r\n")).await;
+    let (_mesh, node) = start_one_node(target).await;
+    let caller = crate::standin::Caller::new(node.addresses().caller);
+    for _ in 0..5 {
+        let answer = caller.post("/read", "key", "body").await;
+        assert_eq!(answer.verdict, Some(Verdict::MayHaveRun), "{answer:?}");
+        assert_eq!(answer.reason.as_deref(), Some("spoiled"), "{answer:?}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// Guards against an answer that announces more bytes than an answer may have, and is read up to there.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_announces_too_many_bytes_is_discarded() {
--- a/src/route/balance.rs
+++ b/src/route/balance.rs
@@ -82,7 +82,8 @@
     /// Chooses a serving target of `group` for a request of `kind`, except those in `tried`; `None`
     /// if there is none.
     ///
-    /// Prefers a target that has not just refused a request, even in a farther tier.
+    /// Prefers a target that has not just refused a request, even in a farther tier. An ejected target is
+    /// chosen if there is no other: its failures may concern few of its requests.
     pub(crate) fn choose(
         &self,
         group: &str,
@@ -105,7 +106,9 @@
             let accepting: Vec<_> = usable.into_iter().filter(|e| !e.is_paused()).collect();
             pick_of_two(&accepting, kind)
         });
-        accepting.or_else(|| tiers().find_map(|tier| pick_of_two(&self.usable(tier), kind)))
+        accepting
+            .or_else(|| tiers().find_map(|tier| pick_of_two(&self.usable(tier), kind)))
+            .or_else(|| tiers().find_map(|tier| pick_of_two(tier, kind)))
     }
 
     /// Targets of a tier without the ejected ones. Leaves out at most `eject_percent` of the tier,
@@ -176,3 +179,6 @@
     latencies.sort_by(f64::total_cmp);
     latencies[(latencies.len() - 1) / 2]
 }
+
+#[cfg(test)]
+mod tests;
