Node: give up after 32 interim responses

Callers saw (tests/crowd, node_interim_answers_without_end): no answer to ordinary requests for 40 s. 112 of 151 calls ended at their deadline of 20 s, and 33,953 connections were refused meanwhile.

Cause: hyper skips interim responses in any number, so that a target which sends nothing else kept a slot, and a connection of a caller, until the deadline.

Measured: interim_answers_without_end_are_given_up failed before; the case passed in its one run since.

--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -1,6 +1,7 @@
 //! A pool of HTTP/1 client connections to one address.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -10,7 +11,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
+use tokio::sync::{Notify, Semaphore};
 
 use crate::http::server::MAX_BUFFER_BYTES;
 use crate::http::{Body, Release, ReleasingBody, read_whole};
@@ -19,6 +20,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 const MAX_IDLE_CONNECTIONS: usize = 128;
 const MAX_CONCURRENT_CONNECTS: usize = 8;
+/// Most interim responses before the final one. Servers send one or two.
+const MAX_INTERIM_RESPONSES: usize = 32;
 
 /// Why a request got no response.
 #[derive(Debug, derive_more::Display)]
@@ -34,6 +37,27 @@
     Invalid(String),
 }
 
+/// The interim (1xx) responses to a request, which `hyper` skips.
+#[derive(Default)]
+struct Interim {
+    count: AtomicUsize,
+    too_many: Notify,
+}
+
+impl Interim {
+    /// Counts the interim responses to a request.
+    fn count(request: &mut Request<Body>) -> Arc<Self> {
+        let interim = Arc::new(Self::default());
+        let counter = interim.clone();
+        hyper::ext::on_informational(request, move |_| {
+            if counter.count.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_RESPONSES {
+                counter.too_many.notify_one();
+            }
+        });
+        interim
+    }
+}
+
 struct IdleConnection {
     sender: SendRequest<Body>,
     idle_since: Instant,
@@ -93,7 +117,15 @@
                 }
                 continue;
             }
-            match sender.try_send_request(request).await {
+            let interim = Interim::count(&mut request);
+            let sent = tokio::select! {
+                sent = sender.try_send_request(request) => sent,
+                () = interim.too_many.notified() => {
+                    let fault = "too many interim responses";
+                    return Err(SendError::Invalid(fault.into()));
+                }
+            };
+            match sent {
                 Ok(response) => {
                     let pool = self.clone();
                     return Ok(
--- a/src/proxy/tests.rs
+++ b/src/proxy/tests.rs
@@ -214,6 +214,17 @@
     assert_eq!(answer.reason.as_deref(), Some("spoiled"), "{answer:?}");
 }
 
+/// Guards against interim answers without end that keep a connection of a caller until the deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn interim_answers_without_end_are_given_up() {
+    static CLOSED: AtomicBool = AtomicBool::new(false);
+    let interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    let answer = call(Script::Endless(interim, &CLOSED), "/read").await;
+    assert_eq!(answer.verdict, Some(Verdict::MayHaveRun), "{answer:?}");
+    assert_eq!(answer.reason.as_deref(), Some("spoiled"), "{answer:?}");
+    crate::testing::until("connection closed", || CLOSED.load(Ordering::Relaxed)).await;
+}
+
 /// Guards against an answer that breaks off in its head and is taken for one without a body.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_breaks_off_in_its_head_may_have_run() {
