--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -82,19 +82,19 @@
 }
 
 macro_rules! bounded_body_tests {
-    ($($name:ident: $pieces:expr, $pause:expr => $expected:pat,)*) => {
+    ($($name:ident: $pieces:expr, $pause:expr => $expected:expr,)*) => {
         $(#[tokio::test]
         async fn $name() {
             let outcome = read_bounded($pieces, $pause).await;
-            assert!(matches!(outcome, $expected), "{outcome:?}");
+            assert_eq!(outcome.as_ref().ok(), $expected, "{outcome:?}");
         })*
     };
 }
 
 bounded_body_tests! {
-    a_bounded_body_at_its_limit_is_read: [LIMIT - 1, 1], Duration::ZERO => Ok(LIMIT),
-    a_bounded_body_over_its_limit_fails: [LIMIT, 1], Duration::ZERO => Err(_),
-    a_bounded_body_fails_at_its_deadline: [1, 1], Duration::from_secs(2) => Err(_),
+    a_bounded_body_at_its_limit_is_read: [LIMIT - 1, 1], Duration::ZERO => Some(&LIMIT),
+    a_bounded_body_over_its_limit_fails: [LIMIT, 1], Duration::ZERO => None,
+    a_bounded_body_fails_at_its_deadline: [1, 1], Duration::from_secs(2) => None,
 }
 
 /// Guards against bodies that are used without being counted.
