--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -16,8 +16,8 @@
 use tokio::sync::mpsc;
 
 use crate::http::{
-    Body, BoundedBody, Capacity, Handler, Place, Places, ReadError, Server, full, read_held,
-    read_whole,
+    Activity, Body, BoundedBody, Capacity, Handler, Place, Places, ReadError, Server, full,
+    read_held, read_whole,
 };
 use crate::testing::{pool, until};
 
@@ -205,6 +205,7 @@
     for _ in 0..3 {
         let new = places.enter(None).expect("a place, as others are idle");
         open[0].set_idle(false);
+        assert!(open[0].lost().now_or_never().is_none(), "closes at work");
         close_lost(&mut open);
         open.push(new);
         open.rotate_left(1);
@@ -215,12 +216,13 @@
 #[test]
 fn a_connection_that_lost_its_place_closes_after_its_request() {
     let places = Places::within(2);
-    let mut first = places.enter(None).unwrap();
-    first.set_idle(true);
+    let activity = Activity::new(places.enter(None).unwrap(), None, false);
     let _new = places.enter(None).unwrap();
-    first.set_idle(false);
-    first.set_idle(true);
-    assert!(first.lost().now_or_never().is_some());
+    let running = activity.begin_request();
+    let mut lost = Box::pin(activity.lost());
+    assert!((&mut lost).now_or_never().is_none(), "closes at work");
+    drop(running);
+    assert!(lost.now_or_never().is_some());
 }
 
 macro_rules! running_tests {
