--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -3,7 +3,8 @@
 //! `standins-3 CASE FOLDER`: plays a case and writes `record.txt` into the folder. Exit codes: 0 the
 //! rule held, 1 it was broken, 2 the case could not run. `TROUBLE=0` leaves the disruption out.
 
-mod gone;
+mod clients;
+mod forgotten;
 mod http;
 mod instance;
 mod json;
@@ -37,7 +38,7 @@
     let mut record = Record::default();
     let broken = match case.as_str() {
         "returned" => returned::play(&scratch, trouble, &mut record),
-        "gone" => gone::play(&scratch, trouble, &mut record),
+        "forgotten" => forgotten::play(&scratch, trouble, &mut record),
         _ => None,
     };
     let (code, word) = match broken {
--- a/review/standins-3/node.rs
+++ b/review/standins-3/node.rs
@@ -103,6 +103,20 @@
         Self { child, ready: machine.ready }
     }
 
+    /// Sends SIGTERM, and waits for the process to end; `false` if it doesn't within the limit.
+    pub fn stop(&mut self, limit: Duration) -> bool {
+        let began = Instant::now();
+        let signal = format!("kill -TERM {}", self.child.id());
+        let _ = Command::new("sh").args(["-c", &signal]).status();
+        while began.elapsed() < limit {
+            if matches!(self.child.try_wait(), Ok(Some(_))) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        false
+    }
+
     /// Waits until the node says that it is ready.
     pub fn wait_until_ready(&self) -> bool {
         let began = Instant::now();
